--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,67 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"dunestand/internal/units"
+)
+
+// Client sends requests to one server over a few kept connections.
+type Client struct {
+	base string
+	http *http.Client
+	most int64
+}
+
+// NewClient makes a client for the server at addr (IP:port). It opens at most
+// conns connections and reads answers of at most maxAnswer bytes.
+func NewClient(addr string, conns int, maxAnswer int64) *Client {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     60 * time.Second,
+		DisableCompression:  true,
+	}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: t}, most: maxAnswer}
+}
+
+// Do sends one request and reads the whole answer. An error means that the
+// request may or may not have been carried out.
+func (c *Client) Do(ctx context.Context, method, path string, body []byte, limit units.Micros) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	var r io.Reader
+	if body != nil {
+		r = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/cbor")
+		// The standard client repeats a request on a fresh connection when it
+		// thinks that safe. Here a repeat is the caller's decision alone.
+		req.GetBody = nil
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, c.most+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	if int64(len(answer)) > c.most {
+		return 0, nil, fmt.Errorf("answer of %s is over %d bytes", path, c.most)
+	}
+	return resp.StatusCode, answer, nil
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,157 @@
+// Package transport moves bytes: HTTP servers and clients with limits and
+// timeouts, and length-prefixed frames between controllers. It knows nothing
+// of what the bytes mean.
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// MaxBody is the largest body that is read or written, in bytes.
+const MaxBody = 64 << 10
+
+// Request is an HTTP request whose body was read whole.
+type Request struct {
+	ID       string // the path's {id}, if the route has one
+	Body     []byte
+	TooLarge bool
+}
+
+// Response is the answer to a Request. RetryAfter, in seconds, is sent when
+// it is positive.
+type Response struct {
+	Status      int
+	Body        []byte
+	ContentType string
+	RetryAfter  int
+}
+
+// Handler answers requests.
+type Handler func(ctx context.Context, r Request) Response
+
+// Server is an HTTP server with a bound on its connections.
+type Server struct {
+	echo  *echo.Echo
+	conns int
+}
+
+// NewServer makes a server that holds at most conns connections.
+func NewServer(conns int) *Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		status := http.StatusInternalServerError
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status = he.Code
+		}
+		if !c.Response().Committed {
+			_ = c.NoContent(status)
+		}
+	}
+	return &Server{echo: e, conns: conns}
+}
+
+// Handle adds a route. A path may hold one parameter, ":id".
+func (s *Server) Handle(method, path string, h Handler) {
+	s.echo.Add(method, path, func(c echo.Context) error {
+		r := Request{ID: c.Param("id")}
+		if method == http.MethodPost {
+			body, err := readBounded(c.Request().Body, c.Request().ContentLength)
+			switch {
+			case errors.Is(err, errTooLarge):
+				r.TooLarge = true
+			case err != nil:
+				return c.NoContent(http.StatusBadRequest)
+			}
+			r.Body = body
+		}
+		resp := h(c.Request().Context(), r)
+		if resp.RetryAfter > 0 {
+			c.Response().Header().Set("Retry-After", strconv.Itoa(resp.RetryAfter))
+		}
+		if resp.ContentType == "" {
+			resp.ContentType = "application/cbor"
+		}
+		return c.Blob(resp.Status, resp.ContentType, resp.Body)
+	})
+}
+
+var errTooLarge = errors.New("body too large")
+
+func readBounded(r io.Reader, declared int64) ([]byte, error) {
+	if declared > MaxBody {
+		return nil, errTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxBody {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// Serve answers requests on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{
+		Handler:           s.echo,
+		ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout:       15 * time.Second,
+		WriteTimeout:      15 * time.Second,
+		IdleTimeout:       90 * time.Second,
+		MaxHeaderBytes:    8 << 10,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	err := srv.Serve(&boundedListener{Listener: l, most: int64(s.conns)})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// boundedListener closes connections beyond its bound at once: a client that
+// waits in a backlog learns nothing, one that is refused tries another node.
+type boundedListener struct {
+	net.Listener
+	most, open int64
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if atomic.AddInt64(&l.open, 1) > l.most {
+			atomic.AddInt64(&l.open, -1)
+			_ = c.Close()
+			continue
+		}
+		return &boundedConn{Conn: c, l: l}, nil
+	}
+}
+
+type boundedConn struct {
+	net.Conn
+	l      *boundedListener
+	closed atomic.Bool
+}
+
+func (c *boundedConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		atomic.AddInt64(&c.l.open, -1)
+	}
+	return c.Conn.Close()
+}
