--- /dev/null
+++ b/internal/bookkeeping/job.go
@@ -0,0 +1,187 @@
+package bookkeeping
+
+import (
+	"math/bits"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// AttemptStage is where an attempt is, as far as the leader knows.
+type AttemptStage uint8
+
+// The stages of an attempt. An attempt that is Sent may or may not have
+// reached its machine; only a later report tells.
+const (
+	Assigned AttemptStage = iota
+	Sent
+	Fetching
+	Running
+	Saving
+)
+
+// Attempt is one try of a task on a machine. It occupies the machine and the
+// team's limit from its assignment until it is known to be gone.
+type Attempt struct {
+	Job     *Job
+	Index   int
+	Number  uint64
+	Machine *Machine
+	Stage   AttemptStage
+
+	SentSeq      uint64 // the report in whose answer the start was sent
+	Assigned     units.Micros
+	RunningSince units.Micros
+	Stop         bool         // it is to be stopped
+	Grace        units.Micros // with so much time to save
+	StopDone     bool         // the stop was sent at least once
+}
+
+// Task gives the task's name.
+func (a *Attempt) Task() string { return protocol.TaskName(a.Job.Spec.ID, a.Index) }
+
+// Job is a live job.
+type Job struct {
+	Spec      protocol.JobSpec
+	Submitted units.Micros // time of day
+	Cancelled bool
+	// CancelStored: the cancellation is durable, so its user may be told.
+	CancelStored bool
+	Live         map[int]*Attempt
+	Doubts       map[string]bool // machines that may hold tasks nobody has told us of
+	Since        units.Micros    // steady time when this leader learnt of it
+
+	// What its attempts taught.
+	Errors       int             // in a row, without a success between
+	ErrorsOn     map[string]bool // machines on which it failed
+	Succeeded    bool
+	RetryAt      units.Micros
+	runTotal     units.Micros
+	runs         int
+	done         bitset
+	doneCount    int
+	retry        []int
+	cursor       int
+	machines     map[string]bool // named in the record in the making; true: durably
+	stored       bool            // a record exists in the state service
+	version      uint64
+	saving       bool
+	unsaved      map[int]bool // done, but not yet durably
+	inSave       map[int]bool // done, and in the save on its way
+	dirtyPages   map[int]bool
+	storedPages  map[int]bool
+	changed      bool // something wants saving
+	urgent       bool // and at once
+	changedSince units.Micros
+	saved        chan struct{}   // closed when the save that is due ends well
+	sending      chan struct{}   // closed when the save on its way ends well
+	waiting      []chan struct{} // likewise, from saves that were refused
+}
+
+func newJob(spec protocol.JobSpec, submitted units.Micros) *Job {
+	return &Job{
+		Spec: spec, Submitted: submitted, Live: map[int]*Attempt{}, Doubts: map[string]bool{},
+		ErrorsOn: map[string]bool{}, done: newBitset(spec.Tasks), machines: map[string]bool{},
+		unsaved: map[int]bool{}, inSave: map[int]bool{}, dirtyPages: map[int]bool{}, storedPages: map[int]bool{},
+		saved: make(chan struct{}),
+	}
+}
+
+func (j *Job) pages() int { return (j.Spec.Tasks - 1) / pageTasks }
+
+func (j *Job) recount() {
+	j.doneCount = 0
+	for _, b := range j.done {
+		j.doneCount += bits.OnesCount8(b)
+	}
+}
+
+// Accepted tells whether the job is durable.
+func (j *Job) Accepted() bool { return j.stored }
+
+// DoneCount is the number of completed tasks.
+func (j *Job) DoneCount() int { return j.doneCount }
+
+// Complete tells whether every task is done.
+func (j *Job) Complete() bool { return j.doneCount == j.Spec.Tasks }
+
+// Pending is the number of tasks that are neither done nor on a machine.
+func (j *Job) Pending() int { return j.Spec.Tasks - j.doneCount - len(j.Live) }
+
+// Unfinished is the number of tasks that are not done.
+func (j *Job) Unfinished() int { return j.Spec.Tasks - j.doneCount }
+
+// IsDone tells whether a task is done.
+func (j *Job) IsDone(i int) bool { return i < j.Spec.Tasks && j.done.has(i) }
+
+// DoneDurably tells whether a task's completion is stored.
+func (j *Job) DoneDurably(i int) bool { return j.IsDone(i) && !j.unsaved[i] && !j.inSave[i] }
+
+// Running counts the tasks that run.
+func (j *Job) Running() int {
+	n := 0
+	for _, a := range j.Live {
+		if a.Stage == Running || a.Stage == Saving {
+			n++
+		}
+	}
+	return n
+}
+
+// MeanRun is the mean run time of the tasks seen, 0 if none was.
+func (j *Job) MeanRun() units.Micros {
+	if j.runs == 0 {
+		return 0
+	}
+	return j.runTotal / units.Micros(j.runs)
+}
+
+// next takes a pending task. Retries go first.
+func (j *Job) next() (int, bool) {
+	for len(j.retry) > 0 {
+		i := j.retry[len(j.retry)-1]
+		j.retry = j.retry[:len(j.retry)-1]
+		if !j.done.has(i) && j.Live[i] == nil {
+			return i, true
+		}
+	}
+	for ; j.cursor < j.Spec.Tasks; j.cursor++ {
+		if !j.done.has(j.cursor) && j.Live[j.cursor] == nil {
+			j.cursor++
+			return j.cursor - 1, true
+		}
+	}
+	return 0, false
+}
+
+func (j *Job) markDone(i int) bool {
+	if i >= j.Spec.Tasks || j.done.has(i) {
+		return false
+	}
+	j.done.add(i)
+	j.doneCount++
+	j.unsaved[i] = true
+	j.dirtyPages[i/pageTasks] = true
+	return true
+}
+
+// MayStartOn tells whether the record durably names the machine, so that a
+// later leader would know to look for the job's tasks there.
+func (j *Job) MayStartOn(machine string) bool { return j.stored && j.machines[machine] }
+
+// Changed notes that the record is to be written; at once if urgent.
+func (j *Job) Changed(now units.Micros, urgent bool) {
+	if !j.changed {
+		j.changed, j.changedSince = true, now
+	}
+	j.urgent = j.urgent || urgent
+}
+
+// Saved gives a channel that is closed once all that was changed until now
+// is durable.
+func (j *Job) Saved() <-chan struct{} {
+	if j.saving && !j.changed {
+		return j.sending // the save on its way has it all
+	}
+	return j.saved
+}
--- /dev/null
+++ b/internal/bookkeeping/ledger.go
@@ -0,0 +1,368 @@
+package bookkeeping
+
+import (
+	"sort"
+
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// Team is a team and what may be running for it.
+type Team struct {
+	Name      string
+	Guarantee units.Resources
+	Limit     units.Resources
+	Used      units.Resources
+}
+
+// Machine is a machine that reported, is listed, or was rented.
+type Machine struct {
+	ID       string
+	Type     string
+	Zone     string
+	Spot     bool
+	Size     units.Resources
+	Cache    units.Amount
+	Used     units.Resources
+	Attempts map[AttemptKey]*Attempt
+	Ended    int // ended tasks in its last report
+
+	Seen         bool // it reported to this leader
+	Settled      bool // what it holds is known
+	Session, Seq uint64
+	LastAnswered units.Micros // when its last answered report came in
+	NoticeEnds   units.Micros // when the cloud takes it away; 0: no notice
+	SetAside     bool         // faulty: gets no work and is returned
+	Slow         bool
+	BlockedUntil units.Micros // refused for want of room: our count is off
+
+	Stage      string // as the cloud lists it
+	Rented     units.Micros
+	IdleSince  units.Micros
+	Releasing  bool
+	errorJobs  map[string]bool // jobs that failed here since the last success
+	slowness   float64         // run time against siblings elsewhere, moving mean
+	slowRuns   int
+	images     []image // the most recently used one last
+	imagesSize units.Amount
+}
+
+// AttemptKey names an attempt on its machine.
+type AttemptKey struct {
+	Job    string
+	Index  int
+	Number uint64
+}
+
+type image struct {
+	name string
+	size units.Amount
+}
+
+// Free is the room that is left.
+func (m *Machine) Free() units.Resources { return m.Size.Plus(m.Used, -1) }
+
+// HasImage tells whether the machine is thought to hold an image.
+func (m *Machine) HasImage(name string) bool {
+	for _, i := range m.images {
+		if i.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// touchImage notes that an image is used, as the machine's cache would.
+func (m *Machine) touchImage(name string, size units.Amount) {
+	for k, i := range m.images {
+		if i.name == name {
+			m.images = append(append(m.images[:k:k], m.images[k+1:]...), i)
+			return
+		}
+	}
+	m.images = append(m.images, image{name, size})
+	m.imagesSize += size
+	for m.imagesSize > m.Cache && len(m.images) > 1 {
+		m.imagesSize -= m.images[0].size
+		m.images = m.images[1:]
+	}
+}
+
+// Ledger is the leader's view of jobs, machines and teams. It is not safe for
+// concurrent use.
+type Ledger struct {
+	Jobs     map[string]*Job
+	Machines map[string]*Machine
+	Teams    map[string]*Team
+	Types    map[string]protocol.MachineType
+	classes  map[string]float64 // run time against the owners' estimates
+}
+
+// NewLedger makes an empty ledger.
+func NewLedger(teams []config.Team) *Ledger {
+	l := &Ledger{Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
+		Types: map[string]protocol.MachineType{}, classes: map[string]float64{}}
+	for _, t := range teams {
+		limit := func(f float64) units.Amount { return units.AmountOf(f) }
+		l.Teams[t.Name] = &Team{Name: t.Name,
+			Guarantee: units.Resources{CPU: limit(t.CPUs), GPU: limit(t.GPUs), Memory: unlimited},
+			Limit:     units.Resources{CPU: limit(t.CPUsMax), GPU: limit(t.GPUsMax), Memory: unlimited}}
+	}
+	return l
+}
+
+// unlimited stands for the memory of a team, which has no limit.
+const unlimited = units.Amount(1) << 60
+
+// SetTypes takes over the cloud's catalog.
+func (l *Ledger) SetTypes(types []protocol.MachineType) {
+	for _, t := range types {
+		l.Types[t.Name] = t
+	}
+	for _, m := range l.Machines {
+		l.size(m)
+	}
+}
+
+// SizeOf is what a machine of a type has.
+func SizeOf(t protocol.MachineType) units.Resources {
+	return units.Resources{CPU: units.AmountOf(t.CPUs), GPU: units.AmountOf(t.GPUs), Memory: units.AmountOf(t.MemoryGB)}
+}
+
+func (l *Ledger) size(m *Machine) {
+	if t, ok := l.Types[m.Type]; ok {
+		m.Size, m.Cache = SizeOf(t), units.AmountOf(t.CacheGB)
+	}
+}
+
+// Machine gives the machine of that name, made if need be.
+func (l *Ledger) Machine(id, typ, zone string, spot bool, now units.Micros) *Machine {
+	m := l.Machines[id]
+	if m == nil {
+		m = &Machine{ID: id, Type: typ, Zone: zone, Spot: spot, Rented: now, IdleSince: now,
+			Attempts: map[AttemptKey]*Attempt{}, errorJobs: map[string]bool{}, slowness: 1}
+		l.Machines[id] = m
+		l.size(m)
+	}
+	return m
+}
+
+// NewJob adds a submitted job, which is not accepted until it is saved.
+func (l *Ledger) NewJob(spec protocol.JobSpec, wall, now units.Micros) *Job {
+	j := newJob(spec, wall)
+	j.Since = now
+	l.Jobs[spec.ID] = j
+	j.Changed(now, true)
+	return j
+}
+
+// Assign gives the next pending task of a job to a machine.
+func (l *Ledger) Assign(j *Job, m *Machine, number uint64, now units.Micros) *Attempt {
+	i, ok := j.next()
+	if !ok {
+		return nil
+	}
+	if !j.machines[m.ID] {
+		if _, named := j.machines[m.ID]; !named {
+			j.machines[m.ID] = false
+		}
+		j.Changed(now, true)
+	}
+	return l.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Assigned, Assigned: now})
+}
+
+// Adopt takes in an attempt that a machine reported and that this leader did
+// not start.
+func (l *Ledger) Adopt(j *Job, i int, number uint64, m *Machine, now units.Micros) *Attempt {
+	if _, named := j.machines[m.ID]; !named {
+		j.machines[m.ID] = false
+		j.Changed(now, false)
+	}
+	return l.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Fetching, Assigned: now})
+}
+
+func (l *Ledger) attach(a *Attempt) *Attempt {
+	a.Job.Live[a.Index] = a
+	a.Machine.Attempts[AttemptKey{a.Job.Spec.ID, a.Index, a.Number}] = a
+	l.count(a, 1)
+	return a
+}
+
+func (l *Ledger) count(a *Attempt, n int) {
+	a.Machine.Used = a.Machine.Used.Plus(a.Job.Spec.Need, n)
+	if t := l.Teams[a.Job.Spec.Team]; t != nil {
+		t.Used = t.Used.Plus(a.Job.Spec.Need, n)
+	}
+}
+
+// Gone notes that an attempt is certainly not on its machine any more. Unless
+// its task is done, the task is pending again.
+func (l *Ledger) Gone(a *Attempt, now units.Micros) {
+	key := AttemptKey{a.Job.Spec.ID, a.Index, a.Number}
+	if a.Machine.Attempts[key] != a {
+		return
+	}
+	delete(a.Machine.Attempts, key)
+	if a.Job.Live[a.Index] == a {
+		delete(a.Job.Live, a.Index)
+		if !a.Job.IsDone(a.Index) {
+			a.Job.retry = append(a.Job.retry, a.Index)
+		}
+	}
+	l.count(a, -1)
+	if len(a.Machine.Attempts) == 0 {
+		a.Machine.IdleSince = now
+	}
+}
+
+// Done notes that a task has completed.
+func (l *Ledger) Done(j *Job, i int, now units.Micros) {
+	if j.markDone(i) {
+		j.Changed(now, j.Complete())
+	}
+}
+
+// Completed learns from an attempt that has completed.
+func (l *Ledger) Completed(a *Attempt, now units.Micros) {
+	j, m := a.Job, a.Machine
+	clear(m.errorJobs)
+	j.Errors, j.Succeeded = 0, true
+	if a.RunningSince == 0 || a.Stage != Running {
+		return
+	}
+	run := now - a.RunningSince
+	if mean := j.MeanRun(); mean > 0 && j.runs >= 3 && mean > 2*units.Second {
+		ratio := max(0.2, min(run.Seconds()/mean.Seconds(), 8))
+		m.slowness = 0.7*m.slowness + 0.3*ratio
+		m.slowRuns++
+		m.Slow = m.slowRuns >= 3 && m.slowness > 1.5
+	}
+	if !m.Slow {
+		j.runTotal += run
+		j.runs++
+	}
+	if e := j.Spec.Estimate; e > 0 {
+		ratio := max(0.1, min(run.Seconds()/e.Seconds(), 10))
+		old, ok := l.classes[j.Spec.Class]
+		if !ok {
+			old = 1
+		}
+		l.classes[j.Spec.Class] = 0.95*old + 0.05*ratio
+	}
+}
+
+// Estimate is how long a task of the job is thought to run.
+func (l *Ledger) Estimate(j *Job) units.Micros {
+	if mean := j.MeanRun(); mean > 0 {
+		return mean
+	}
+	ratio, ok := l.classes[j.Spec.Class]
+	if !ok {
+		ratio = 1
+	}
+	return units.Micros(float64(j.Spec.Estimate) * ratio)
+}
+
+// faultyJobs is how many jobs must fail on a machine, with no success
+// between, before the machine is blamed and not the jobs.
+const faultyJobs = 2
+
+// Failed learns from an attempt that ended in an error. A job that never
+// succeeded anywhere and fails on several machines was submitted with a
+// mistake: it is retried ever more slowly and no machine is blamed for it.
+func (l *Ledger) Failed(a *Attempt, now units.Micros) {
+	j, m := a.Job, a.Machine
+	j.Errors++
+	j.ErrorsOn[m.ID] = true
+	suspect := !j.Succeeded && len(j.ErrorsOn) >= 3
+	if suspect {
+		shift := min(len(j.ErrorsOn)+j.Errors/4, 8)
+		j.RetryAt = now + min(units.Second<<shift/4, 60*units.Second)
+		for _, other := range l.Machines {
+			delete(other.errorJobs, j.Spec.ID)
+		}
+		return
+	}
+	m.errorJobs[j.Spec.ID] = true
+	if len(m.errorJobs) >= faultyJobs || (j.Succeeded && j.Errors >= 3) {
+		m.SetAside = true
+	}
+}
+
+// Remove drops a machine that is certainly gone, and all that was on it.
+func (l *Ledger) Remove(m *Machine, now units.Micros) {
+	l.Emptied(m, now)
+	l.Settle(m, now)
+	delete(l.Machines, m.ID)
+}
+
+// Emptied notes that nothing that was on the machine is there any more.
+func (l *Ledger) Emptied(m *Machine, now units.Micros) {
+	for _, a := range sortedAttempts(m) {
+		l.Gone(a, now)
+	}
+}
+
+func sortedAttempts(m *Machine) []*Attempt {
+	out := make([]*Attempt, 0, len(m.Attempts))
+	for _, a := range m.Attempts {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if a, b := out[i].Job.Spec.ID, out[k].Job.Spec.ID; a != b {
+			return a < b
+		}
+		return out[i].Index < out[k].Index
+	})
+	return out
+}
+
+// Settle notes that what the machine holds is known.
+func (l *Ledger) Settle(m *Machine, now units.Micros) {
+	m.Settled = true
+	l.SettleName(m.ID)
+}
+
+// SettleName is Settle for a machine that may have left the ledger.
+func (l *Ledger) SettleName(id string) {
+	for _, j := range l.Jobs {
+		delete(j.Doubts, id)
+	}
+}
+
+// Doubtful tells whether a job may have tasks on the machine that nobody has
+// told us of.
+func (l *Ledger) Doubtful(id string) bool {
+	for _, j := range l.Jobs {
+		if j.Doubts[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// UsedIn is what a team may be using: what is known to be there, and what
+// unsettled machines may hold at worst.
+func (l *Ledger) UsedIn(t *Team) units.Resources {
+	used := t.Used
+	for _, j := range l.Jobs {
+		if j.Spec.Team == t.Name && len(j.Doubts) > 0 {
+			used = used.Plus(j.Spec.Need, j.Pending())
+		}
+	}
+	return used
+}
+
+// HoldsImage notes that a machine has a job's image.
+func (l *Ledger) HoldsImage(m *Machine, j *Job) {
+	if j.Spec.ImageSize > 0 {
+		m.touchImage(j.Spec.Image, j.Spec.ImageSize)
+	}
+}
+
+// Slack tells whether anything that a job waits for is still open on it.
+func (j *Job) Waiting() bool { return j.stored && !j.Cancelled && j.Pending() > 0 }
+
+// Attempts lists a machine's attempts in a fixed order.
+func (m *Machine) Sorted() []*Attempt { return sortedAttempts(m) }
--- /dev/null
+++ b/internal/bookkeeping/store.go
@@ -0,0 +1,149 @@
+// Package bookkeeping keeps what the service knows: jobs, attempts, machines
+// and teams' usage in memory, and the records in the state service that
+// outlive every controller.
+package bookkeeping
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/transport"
+	"dunestand/internal/units"
+)
+
+// Outcomes of a request to the state service that are not success.
+var (
+	// ErrRefused: the request was not carried out.
+	ErrRefused = errors.New("state service refused")
+	// ErrUncertain: it may have been carried out, or may be still.
+	ErrUncertain = errors.New("state service did not answer")
+)
+
+// ConflictError names the keys whose version was not the expected one.
+type ConflictError struct{ Keys []string }
+
+func (e *ConflictError) Error() string { return fmt.Sprintf("conflict on %v", e.Keys) }
+
+// Store is the state service as controllers use it, within the node's share
+// of its limits.
+type Store struct {
+	client   *transport.Client
+	requests *rate.Limiter
+	writes   *rate.Limiter
+	Stats    StoreStats
+}
+
+// StoreStats counts what was sent.
+type StoreStats struct{ Requests, Writes, Refused, Uncertain atomic.Uint64 }
+
+// The leader's share of the state service. All writes stay below half of its
+// rate (DESIGN, 4); the rest of the requests is left to the other nodes.
+const (
+	writeShare   = 0.47
+	requestShare = 0.6
+)
+
+// NewStore makes a client of the state service.
+func NewStore(addr string, limits config.State) *Store {
+	burst := func(r float64) int { return max(int(r/2), 16) }
+	return &Store{
+		client:   transport.NewClient(addr, 8, 4<<20),
+		requests: rate.NewLimiter(rate.Limit(limits.RPS*requestShare), burst(limits.RPS*requestShare)),
+		writes:   rate.NewLimiter(rate.Limit(limits.WriteRPS*writeShare), burst(limits.WriteRPS*writeShare)),
+	}
+}
+
+// Get reads a key.
+func (s *Store) Get(ctx context.Context, key string, limit units.Micros) (protocol.Item, bool, error) {
+	var item protocol.Item
+	status, err := s.call(ctx, http.MethodGet, protocol.PathKeys+"/"+key, nil, limit, &item)
+	switch {
+	case err != nil:
+		return item, false, err
+	case status == http.StatusNotFound:
+		return item, false, nil
+	}
+	return item, true, nil
+}
+
+// List reads one page of the keys with a prefix, beginning after from.
+func (s *Store) List(ctx context.Context, prefix, from string, limit units.Micros) (protocol.ItemList, error) {
+	q := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(1000)}}
+	if from != "" {
+		q.Set("from", from)
+	}
+	var list protocol.ItemList
+	status, err := s.call(ctx, http.MethodGet, protocol.PathKeys+"?"+q.Encode(), nil, limit, &list)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("listing %s: status %d", prefix, status)
+	}
+	return list, err
+}
+
+// Commit carries out a transaction and gives its revision. It fails with
+// ErrRefused, ErrUncertain or a ConflictError. It first waits for the write
+// budget; a renewal of the fleet lease is counted but does not wait.
+func (s *Store) Commit(ctx context.Context, txn protocol.Txn, hurry bool, limit units.Micros) (uint64, error) {
+	if n := len(txn.Then); hurry {
+		s.writes.ReserveN(time.Now(), n)
+	} else if err := s.writes.WaitN(ctx, n); err != nil {
+		return 0, ErrRefused
+	}
+	if txn.If == nil {
+		txn.If = []protocol.Condition{}
+	}
+	s.Stats.Writes.Add(uint64(len(txn.Then)))
+	var answer protocol.TxnAnswer
+	status, err := s.call(ctx, http.MethodPost, protocol.PathCommit, protocol.Encode(txn), limit, &answer)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusConflict:
+		return 0, &ConflictError{answer.Failed}
+	case status != http.StatusOK:
+		return 0, fmt.Errorf("commit: status %d", status)
+	}
+	return answer.Revision, nil
+}
+
+func (s *Store) call(ctx context.Context, method, path string, body []byte, limit units.Micros, answer any) (int, error) {
+	s.requests.ReserveN(time.Now(), 1)
+	s.Stats.Requests.Add(1)
+	status, raw, err := s.client.Do(ctx, method, path, body, limit)
+	if err != nil {
+		s.Stats.Uncertain.Add(1)
+		return 0, fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	switch status {
+	case http.StatusOK, http.StatusConflict:
+		if err := protocol.Decode(raw, answer); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrUncertain, err)
+		}
+	case http.StatusNotFound:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		s.Stats.Refused.Add(1)
+		return 0, ErrRefused
+	default:
+		return status, fmt.Errorf("%s %s: status %d", method, path, status)
+	}
+	return status, nil
+}
+
+// Spare tells whether a request that could as well be made later fits into
+// the node's share now.
+func (s *Store) Spare() bool { return s.requests.TokensAt(time.Now()) > 4 }
+
+// WritesSpare tells whether there is room for writes that nobody waits for.
+func (s *Store) WritesSpare() bool {
+	return s.writes.TokensAt(time.Now()) > float64(s.writes.Burst())/2
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -222,3 +222,17 @@
 	}
 	return nil
 }
+
+// Due is when a job should be complete, from its submission: its own
+// deadline, or what the users' aims say of its class. 0: nothing is said.
+func (f *Fleet) Due(class string, deadline units.Micros) units.Micros {
+	if deadline > 0 {
+		return deadline
+	}
+	for _, o := range f.Objectives {
+		if o.Kind == "finished" && o.Class == class && o.WithinS > 0 {
+			return units.Seconds(o.WithinS)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/coordination/cloudloop.go
@@ -0,0 +1,407 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// renting is what the cloud loop remembers.
+type renting struct {
+	catalog        protocol.Catalog
+	catalogVersion uint64
+	catalogAt      units.Micros
+	listAt         units.Micros
+	refused        map[Kind]refusal
+	open           []protocol.Rent // sent, and not answered yet
+}
+
+type refusal struct {
+	until units.Micros
+	wait  units.Micros
+}
+
+func newRenting() renting { return renting{refused: map[Kind]refusal{}} }
+
+const (
+	cloudTick    = 500 * units.Millisecond
+	catalogEvery = 60 * units.Second
+	refusedFirst = 8 * units.Second
+	refusedMost  = 40 * units.Second
+	bootPatience = 3                 // boot times until a machine is not reckoned with
+	bootLimit    = 6                 // boot times until it is given up
+	tombKept     = 90 * units.Second // for how long a released machine may still be listed
+)
+
+// cloudLoop keeps the rented machines as wanted.
+func (t *Term) cloudLoop(ctx context.Context) {
+	for pause(ctx, cloudTick) {
+		if !t.Lease.Valid(t.number) {
+			continue
+		}
+		t.checkContact()
+		now := t.Clock.Steady()
+		if t.rent.catalogAt == 0 || now-t.rent.catalogAt >= catalogEvery {
+			t.readCatalog(ctx)
+		}
+		if every := max(2*units.Second, units.Seconds(t.Settings.Fleet.Cloud.ListLagS)/2); t.rent.listAt == 0 || now-t.rent.listAt >= every {
+			t.readList(ctx)
+		}
+		t.releaseUnwanted(ctx)
+		t.rentWanted(ctx)
+	}
+}
+
+// checkContact gives the lease up when none of several machines has been
+// heard for so long that it must be this node that is cut off. Another node
+// may still reach them before their leases run out.
+func (t *Term) checkContact() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	quiet := t.Settings.Fleet.Workers.Report().Share(3, 2) + 1200*units.Millisecond
+	last, known := t.claimedAt+2*units.Second, 0
+	for _, m := range t.ledger.Machines {
+		if m.Seen && !m.Releasing {
+			known++
+			last = max(last, m.LastAnswered)
+		}
+	}
+	if t.ready && known >= 2 && now-last > quiet && now-last < 3*quiet {
+		t.Log.Info("no machine reports; the lease is given up", "machines", known, "silent_ms", (now-last)/units.Millisecond)
+		t.Lease.Resign()
+	}
+}
+
+func (t *Term) readCatalog(ctx context.Context) {
+	c, err := t.Cloud.Catalog(ctx)
+	if err != nil || len(c.Types) == 0 {
+		t.Log.Info("catalog not read", "error", err)
+		return
+	}
+	t.mu.Lock()
+	t.ledger.SetTypes(c.Types)
+	changed := !sameTypes(c, t.rent.catalog)
+	t.rent.catalog, t.rent.catalogAt = c, t.Clock.Steady()
+	version := t.rent.catalogVersion
+	t.mu.Unlock()
+	kick(t.kickRound)
+	if !changed {
+		return
+	}
+	// Kept for a leader that begins during an outage of the cloud. Whether
+	// the save succeeds matters to nobody now.
+	v, err := t.Store.Commit(ctx, protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.KeyCatalog, Version: version}},
+		Then: []protocol.Change{{Set: bookkeeping.KeyCatalog, Value: protocol.Encode(c)}},
+	}, false, stateCall)
+	if err != nil {
+		t.Log.Info("catalog not stored", "error", err)
+		return
+	}
+	t.mu.Lock()
+	t.rent.catalogVersion = v
+	t.mu.Unlock()
+}
+
+// sameTypes compares catalogs but for the spot prices, which move all the time.
+func sameTypes(a, b protocol.Catalog) bool {
+	return slices.EqualFunc(a.Types, b.Types, func(x, y protocol.MachineType) bool {
+		x.SpotPrice, y.SpotPrice = 0, 0
+		zones := slices.Equal(x.Zones, y.Zones)
+		x.Zones, y.Zones = nil, nil
+		return zones && fmt.Sprint(x) == fmt.Sprint(y)
+	})
+}
+
+func (t *Term) readList(ctx context.Context) {
+	listed, err := t.Cloud.List(ctx)
+	if err != nil {
+		t.Log.Debug("machines not listed", "error", err)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	t.rent.listAt = now
+	present := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		present[l.ID] = true
+		if _, gone := t.tombs[l.ID]; gone {
+			continue
+		}
+		_, known := t.ledger.Machines[l.ID]
+		m := t.ledger.Machine(l.ID, l.Type, l.Zone, l.Spot, now)
+		if !known {
+			m.Rented = now - units.Seconds(l.AgeS)
+			t.Log.Debug("machine listed", "machine", l.ID, "type", l.Type, "zone", l.Zone, "stage", l.Stage)
+		}
+		if !m.Seen {
+			m.Stage = l.Stage
+		}
+		if l.Stage == protocol.MachineFailed && !m.Releasing {
+			// It has stopped on its own: nothing runs there any more. The
+			// release only takes it off the list.
+			t.Log.Info("machine failed", "machine", m.ID, "lost", len(m.Attempts))
+			t.ledger.Emptied(m, now)
+			t.ledger.Settle(m, now)
+			m.Releasing = true
+			kick(t.kickRound)
+		}
+	}
+	lag := units.Seconds(t.Settings.Fleet.Cloud.ListLagS)
+	for _, m := range t.ledger.Machines {
+		if !m.Seen && !present[m.ID] && now-m.Rented > 4*lag+20*units.Second {
+			t.ledger.Remove(m, now) // taken or deleted before it was up
+		}
+	}
+	for id, at := range t.tombs {
+		if now-at > tombKept {
+			delete(t.tombs, id)
+		}
+	}
+}
+
+// releaseUnwanted returns machines that are faulty, lost, never came up, or
+// are idle beyond what is to be kept.
+func (t *Term) releaseUnwanted(ctx context.Context) {
+	t.mu.Lock()
+	names := t.unwanted(t.Clock.Steady())
+	t.mu.Unlock()
+	for len(names) > 0 {
+		n := min(len(names), protocol.MaxRelease)
+		if err := t.Cloud.Release(ctx, names[:n]); err != nil {
+			t.Log.Debug("machines not released", "machines", names[:n], "error", err)
+			return
+		}
+		t.mu.Lock()
+		now := t.Clock.Steady()
+		for _, id := range names[:n] {
+			t.tombs[id] = now
+			if m := t.ledger.Machines[id]; m != nil {
+				t.ledger.Remove(m, now)
+			} else {
+				t.ledger.SettleName(id)
+			}
+		}
+		t.Log.Info("machines released", "machines", names[:n])
+		t.mu.Unlock()
+		kick(t.kickRound)
+		names = names[n:]
+	}
+}
+
+// unwanted chooses the machines to be released. A machine once chosen gets no
+// work and stays chosen, since a release that got no answer may be carried
+// out at any time.
+func (t *Term) unwanted(now units.Micros) []string {
+	chosen := map[string]bool{}
+	mark := func(m *bookkeeping.Machine, why string) {
+		if !m.Releasing {
+			t.Log.Info("machine is to be released", "machine", m.ID, "why", why, "tasks", len(m.Attempts))
+			m.Releasing = true
+		}
+	}
+	silent, reporting := t.silentMachines(now)
+	for _, id := range sortedKeys(t.ledger.Machines) {
+		m := t.ledger.Machines[id]
+		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
+		switch {
+		case m.Seen && m.SetAside && len(m.Attempts) == 0:
+			mark(m, "faulty")
+		case !m.Seen && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
+			mark(m, "never came up")
+		case m.Seen && silent[id] && reporting > len(silent):
+			// Waiting for its lease would take longer, and what is known to
+			// be gone can start elsewhere.
+			mark(m, "silent")
+		}
+		if m.Releasing {
+			chosen[id] = true
+		}
+	}
+	for id := range silent {
+		if t.ledger.Machines[id] == nil && reporting > len(silent) {
+			chosen[id] = true
+		}
+	}
+	for _, m := range t.idle(now) {
+		mark(m, "idle")
+		chosen[m.ID] = true
+	}
+	return sortedKeys(chosen)
+}
+
+// silentMachines gives the machines that should report and do not, those of
+// which only a record tells among them, and the number that do report.
+func (t *Term) silentMachines(now units.Micros) (map[string]bool, int) {
+	silent, reporting := map[string]bool{}, 0
+	limit := t.silentAfter() + units.Second
+	start := t.claimedAt + 2*units.Second // the workers had to find this node
+	for id, m := range t.ledger.Machines {
+		switch {
+		case !m.Seen && !t.ledger.Doubtful(id):
+		case now-max(m.LastAnswered, start) > limit:
+			silent[id] = true
+		case m.Seen:
+			reporting++
+		}
+	}
+	for id := range t.doubtful() {
+		if t.ledger.Machines[id] == nil && now-start > limit {
+			silent[id] = true
+		}
+	}
+	return silent, reporting
+}
+
+// idle chooses machines that nothing has needed for a while, the dearest
+// first, as long as what is left covers the need and the reserve.
+func (t *Term) idle(now units.Micros) []*bookkeeping.Machine {
+	in := t.fleetInput()
+	wait := t.Policy.IdleReturn(in)
+	keep := max(units.AmountOf(in.DemandCPUs), t.Policy.ReserveCPUs(in))
+	have := units.AmountOf(in.FleetCPUs)
+	var out []*bookkeeping.Machine
+	for _, m := range t.ledger.Machines {
+		if m.Seen && !m.Releasing && m.Settled && len(m.Attempts) == 0 && now-m.IdleSince > wait && now-t.claimedAt > wait {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, b := out[i], out[k]
+		if pa, pb := t.price(a), t.price(b); pa != pb {
+			return pa > pb
+		}
+		return a.ID < b.ID
+	})
+	n := 0
+	for _, m := range out {
+		if have-m.Size.CPU >= keep {
+			have -= m.Size.CPU
+			out[n] = m
+			n++
+		}
+	}
+	return out[:n]
+}
+
+func (t *Term) price(m *bookkeeping.Machine) float64 {
+	typ := t.ledger.Types[m.Type]
+	if m.Spot {
+		return typ.SpotPrice
+	}
+	return typ.Price
+}
+
+func (t *Term) fleetInput() config.FleetInput {
+	in := config.FleetInput{Hour: int(t.Clock.Wall() / units.Second / 3600 % 24)}
+	for _, team := range t.ledger.Teams {
+		in.GuaranteedCPUs += team.Guarantee.CPU.Float()
+		in.LimitCPUs += team.Limit.CPU.Float()
+	}
+	for _, n := range t.needs() {
+		in.DemandCPUs += n.Spec.Need.CPU.Float() * float64(n.Count)
+	}
+	for _, m := range t.ledger.Machines {
+		if !m.Releasing {
+			in.FleetCPUs += m.Size.CPU.Float()
+		}
+	}
+	return in
+}
+
+// needs lists the tasks that are not done, as far as their teams' limits let
+// them run.
+func (t *Term) needs() []Need {
+	left := map[string]units.Resources{}
+	for name, team := range t.ledger.Teams {
+		left[name] = team.Limit
+	}
+	var out []Need
+	for _, j := range t.jobsInOrder() {
+		if j.Cancelled || !j.Accepted() {
+			continue
+		}
+		room := left[j.Spec.Team]
+		if n := min(j.Unfinished(), room.Fits(j.Spec.Need)); n > 0 {
+			left[j.Spec.Team] = room.Plus(j.Spec.Need, -n)
+			out = append(out, Need{&j.Spec, n})
+		}
+	}
+	return out
+}
+
+func (t *Term) rentWanted(ctx context.Context) {
+	t.mu.Lock()
+	now := t.Clock.Steady()
+	orders := t.rent.open
+	if len(orders) == 0 {
+		orders = t.orders(now)
+		t.rent.open = orders
+	}
+	t.mu.Unlock()
+	for len(orders) > 0 {
+		r := orders[0]
+		names, err := t.Cloud.Rent(ctx, r)
+		if err != nil && !errors.Is(err, bookkeeping.ErrNoCapacity) {
+			t.Log.Debug("rent not answered", "request", r.Request, "error", err)
+			return // sent again under the same name
+		}
+		orders = orders[1:]
+		t.mu.Lock()
+		t.rent.open = orders
+		now := t.Clock.Steady()
+		kind := Kind{r.Type, r.Zone, r.Spot}
+		if len(names) < r.Count {
+			was := t.rent.refused[kind]
+			wait := min(max(2*was.wait, refusedFirst), refusedMost)
+			t.rent.refused[kind] = refusal{now + wait, wait}
+		} else {
+			delete(t.rent.refused, kind)
+		}
+		for _, id := range names {
+			if _, gone := t.tombs[id]; !gone {
+				m := t.ledger.Machine(id, r.Type, r.Zone, r.Spot, now)
+				if m.Stage == "" {
+					m.Stage = protocol.MachineBooting
+				}
+			}
+		}
+		t.Log.Info("machines rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", names)
+		t.mu.Unlock()
+	}
+}
+
+// orders turns what is wanted into requests with names never used before: the
+// term is in them, and no two terms are alike.
+func (t *Term) orders(now units.Micros) []protocol.Rent {
+	if len(t.ledger.Types) == 0 || t.rent.listAt == 0 {
+		return nil // what there is, is not known yet
+	}
+	in := t.fleetInput()
+	v := FleetView{Types: t.ledger.Types, Have: map[Kind]int{}, Needs: t.needs(),
+		Reserve: t.Policy.ReserveCPUs(in), SpotPreference: t.Policy.SpotPreference(in),
+		Refused: func(k Kind) bool { return now < t.rent.refused[k].until }}
+	for _, m := range t.ledger.Machines {
+		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
+		if m.Releasing || m.SetAside || m.NoticeEnds > 0 || !m.Seen && now-m.Rented > bootPatience*boot+10*units.Second {
+			continue
+		}
+		v.Have[Kind{m.Type, m.Zone, m.Spot}]++
+	}
+	var out []protocol.Rent
+	for _, o := range WantRented(&v) {
+		t.hires++
+		out = append(out, protocol.Rent{Request: fmt.Sprintf("r-%d-%d", t.number, t.hires),
+			Type: o.Kind.Type, Zone: o.Kind.Zone, Spot: o.Kind.Spot, Count: o.Count})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/controller.go
@@ -0,0 +1,219 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/transport"
+	"dunestand/internal/units"
+)
+
+// Controller is one controller node: it serves users, workers and the other
+// controllers, and leads while it holds the fleet lease.
+type Controller struct {
+	deps       Deps
+	peers      *Peers
+	server     *transport.Server
+	term       atomic.Pointer[Term]
+	lastWorker atomic.Int64 // steady time of the last worker's report
+}
+
+// socketsKept are left for links, the state service and the cloud.
+const socketsKept = 48
+
+// NewController makes a node from its settings.
+func NewController(s *config.Settings, policy *config.Policy, clock units.Clock, random *rand.Rand, log *slog.Logger) *Controller {
+	store := bookkeeping.NewStore(s.Services.State, s.Fleet.State)
+	metrics := NewMetrics()
+	lease := NewFleetLease(s.Node, store, clock, TimingFor(s.Fleet.Workers.Lease()), random, log)
+	c := &Controller{
+		deps: Deps{Settings: s, Policy: policy, Store: store, Cloud: bookkeeping.NewCloud(s.Services.Cloud, s.Fleet.Cloud),
+			Lease: lease, Clock: clock, Log: log, Metrics: metrics},
+		peers:  NewPeers(s.Others, clock, random, log),
+		server: transport.NewServer(max(s.Fleet.Resources.MaxConnections-socketsKept, s.Fleet.Resources.MaxConnections/2)),
+	}
+	c.lastWorker.Store(-1 << 50)
+	lease.Connected = func() bool {
+		return len(s.Others) == 0 || c.peers.ReachesAny() || clock.Steady()-units.Micros(c.lastWorker.Load()) < linkFresh
+	}
+	metrics.Gauge("dunestand_lease_remaining_seconds", func() float64 { return lease.Remaining().Seconds() })
+	metrics.Gauge("dunestand_state_requests_total", func() float64 { return float64(store.Stats.Requests.Load()) })
+	metrics.Gauge("dunestand_state_writes_total", func() float64 { return float64(store.Stats.Writes.Load()) })
+	metrics.Gauge("dunestand_state_refused_total", func() float64 { return float64(store.Stats.Refused.Load()) })
+	metrics.Gauge("dunestand_state_unanswered_total", func() float64 { return float64(store.Stats.Uncertain.Load()) })
+	metrics.Gauge("dunestand_state_write_limit", func() float64 { return s.Fleet.State.WriteRPS })
+	metrics.Gauge("dunestand_state_request_limit", func() float64 { return s.Fleet.State.RPS })
+	c.routes()
+	return c
+}
+
+// Run serves on the two listeners until ctx ends.
+func (c *Controller) Run(ctx context.Context, clients, mesh net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	errs := make(chan error, 2)
+	for _, part := range []func(){
+		func() { errs <- c.server.Serve(ctx, clients) },
+		func() { errs <- transport.ServeMesh(ctx, mesh, c.deps.Log, c.answerPeer) },
+		func() { c.peers.Run(ctx) },
+		func() { c.deps.Lease.Run(ctx, c.lead) },
+	} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			part()
+		}()
+	}
+	err := <-errs // a listener that fails ends the node
+	cancel()
+	wg.Wait()
+	return err
+}
+
+func (c *Controller) lead(ctx context.Context, number uint64) {
+	t := NewTerm(number, c.deps)
+	c.term.Store(t)
+	t.Run(ctx)
+	c.term.CompareAndSwap(t, nil)
+}
+
+// leading gives the term if this node leads it now.
+func (c *Controller) leading() *Term {
+	if t := c.term.Load(); t != nil && c.deps.Lease.Valid(t.number) {
+		return t
+	}
+	return nil
+}
+
+func (c *Controller) routes() {
+	s := c.server
+	s.Handle(http.MethodPost, protocol.PathSubmit, func(ctx context.Context, r transport.Request) transport.Response {
+		if r.TooLarge {
+			return Refuse(http.StatusBadRequest, "body over 64 KiB")
+		}
+		return c.submit(ctx, r.Body, true)
+	})
+	s.Handle(http.MethodGet, protocol.PathPoll, func(ctx context.Context, r transport.Request) transport.Response {
+		return c.poll(ctx, r.ID, true)
+	})
+	s.Handle(http.MethodPost, protocol.PathCancel, func(ctx context.Context, r transport.Request) transport.Response {
+		return c.cancel(ctx, r.ID, true)
+	})
+	s.Handle(http.MethodGet, protocol.PathHealth, func(context.Context, transport.Request) transport.Response {
+		return c.health()
+	})
+	s.Handle(http.MethodPost, protocol.PathReport, c.report)
+	s.Handle(http.MethodGet, "/metrics", func(context.Context, transport.Request) transport.Response {
+		return transport.Response{Status: http.StatusOK, ContentType: "text/plain; version=0.0.4", Body: c.deps.Metrics.Text(c.leading())}
+	})
+}
+
+// health: a node is of use while it leads or reaches the leader.
+func (c *Controller) health() transport.Response {
+	if t := c.leading(); t != nil && t.Ready() || c.peers.Reaches(c.deps.Lease.Leader()) {
+		return transport.Response{Status: http.StatusOK}
+	}
+	return unavailable("no leader in reach")
+}
+
+// Ready tells whether the records are restored.
+func (t *Term) Ready() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ready
+}
+
+func (c *Controller) submit(ctx context.Context, body []byte, forward bool) transport.Response {
+	spec, err := protocol.ParseSubmission(body)
+	if err != nil {
+		return Refuse(http.StatusBadRequest, err.Error())
+	}
+	if t := c.leading(); t != nil {
+		return t.Submit(ctx, spec)
+	}
+	return c.forward(ctx, forward, protocol.FrameSubmit, "", body)
+}
+
+func (c *Controller) poll(ctx context.Context, id string, forward bool) transport.Response {
+	if !protocol.ValidJobID(id) {
+		return Refuse(http.StatusNotFound, "no such job")
+	}
+	if t := c.leading(); t != nil {
+		return t.Poll(ctx, id)
+	}
+	r := c.forward(ctx, forward, protocol.FramePoll, id, nil)
+	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.deps.Lease.Leader()) {
+		return PollStored(ctx, c.deps.Store, id)
+	}
+	return r
+}
+
+func (c *Controller) cancel(ctx context.Context, id string, forward bool) transport.Response {
+	if !protocol.ValidJobID(id) {
+		return Refuse(http.StatusNotFound, "no such job")
+	}
+	if t := c.leading(); t != nil {
+		return t.Cancel(ctx, id)
+	}
+	return c.forward(ctx, forward, protocol.FrameCancel, id, nil)
+}
+
+// forward passes a request on to the leader, once: a request that came from
+// another controller is not passed on again.
+func (c *Controller) forward(ctx context.Context, allowed bool, kind protocol.FrameKind, id string, body []byte) transport.Response {
+	if leader := c.deps.Lease.Leader(); allowed && leader != "" && leader != c.deps.Settings.Node {
+		r, err := c.peers.Forward(ctx, leader, kind, id, body)
+		if err == nil {
+			return r
+		}
+		c.deps.Log.Debug("request not passed on", "leader", leader, "job", id, "error", err)
+	}
+	return unavailable("no leader in reach")
+}
+
+func (c *Controller) answerPeer(ctx context.Context, data []byte) ([]byte, error) {
+	return answerFrame(ctx, data, func(ctx context.Context, f protocol.Frame) transport.Response {
+		switch f.Kind {
+		case protocol.FrameSubmit:
+			return c.submit(ctx, f.Body, false)
+		case protocol.FramePoll:
+			return c.poll(ctx, f.Job, false)
+		default:
+			return c.cancel(ctx, f.Job, false)
+		}
+	})
+}
+
+// report answers a worker. Without the right to command the answer names the
+// leader, if it is known and is another node.
+func (c *Controller) report(ctx context.Context, r transport.Request) transport.Response {
+	if r.TooLarge {
+		return Refuse(http.StatusBadRequest, "body over 64 KiB")
+	}
+	report, err := protocol.ParseReport(r.Body)
+	if err != nil {
+		return Refuse(http.StatusBadRequest, err.Error())
+	}
+	c.lastWorker.Store(int64(c.deps.Clock.Steady()))
+	t := c.leading()
+	if t == nil {
+		if leader := c.deps.Lease.Leader(); leader != "" && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
+			return transport.Response{Status: http.StatusMisdirectedRequest, Body: protocol.Encode(protocol.Redirect{Leader: leader})}
+		}
+		return transport.Response{Status: http.StatusMisdirectedRequest, Body: protocol.Encode(protocol.Redirect{})}
+	}
+	answer, ok := t.Report(ctx, report)
+	if !ok || !c.deps.Lease.Valid(t.number) {
+		return unavailable("no right to command, or an old report")
+	}
+	return transport.Response{Status: http.StatusOK, Body: protocol.Encode(answer)}
+}
--- /dev/null
+++ b/internal/coordination/lease.go
@@ -0,0 +1,357 @@
+// Package coordination decides: who leads, what runs where, which machines
+// are rented. What it knows is in package bookkeeping.
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// LeaseTiming is the pace of the fleet lease.
+type LeaseTiming struct {
+	Length units.Micros // counted by the holder from when a renewal was sent
+	Renew  units.Micros
+	Poll   units.Micros
+	Margin units.Micros // a claimer waits this much longer than the length
+}
+
+// drift is how far apart two steady clocks can run, in millionths: each is
+// off by up to 0.05%.
+const drift = 1000
+
+// withDrift is how long to wait by our clock so that a length has passed by
+// any other.
+func withDrift(length, margin units.Micros) units.Micros {
+	return length + length*drift/1_000_000 + margin
+}
+
+// TimingFor chooses the lease's pace. A leader's loss costs the lease and the
+// workers' way to its successor, all within the workers' own lease; a longer
+// fleet lease only helps through outages of the state service, which the
+// workers' lease bridges too.
+func TimingFor(workerLease units.Micros) LeaseTiming {
+	length := min(max(workerLease.Share(3, 10), 3*units.Second), 5*units.Second)
+	return LeaseTiming{Length: length, Renew: length / 5, Poll: 400 * units.Millisecond, Margin: 300 * units.Millisecond}
+}
+
+// watch is a follower's view of the fleet lease record. It never compares
+// clocks of different machines: what counts is for how long this node itself
+// has seen the record unchanged.
+type watch struct {
+	timing  LeaseTiming
+	record  bookkeeping.Lease
+	version uint64
+	seen    bool
+	since   units.Micros // when this version was first seen
+	grace   units.Micros // after an outage the holder may go first
+	broken  bool         // the last read failed
+}
+
+// saw takes in a read that was answered at now.
+func (w *watch) saw(record bookkeeping.Lease, version uint64, now units.Micros) {
+	if w.broken {
+		w.broken, w.grace = false, now+800*units.Millisecond
+	}
+	if !w.seen || version != w.version {
+		w.seen, w.record, w.version, w.since = true, record, version, now
+	}
+}
+
+// failed takes in a read that was not answered.
+func (w *watch) failed() { w.broken = true }
+
+// claimable tells whether the record may be claimed: there is none, its
+// holder gave it up or was this node's former process, or it has not changed
+// for the whole lease.
+func (w *watch) claimable(self string, now units.Micros) bool {
+	switch {
+	case !w.seen || w.broken || now < w.grace:
+		return false
+	case w.version == 0 || w.record.Resigned || w.record.Holder == self:
+		return true
+	}
+	return now-w.since >= withDrift(w.timing.Length, w.timing.Margin)
+}
+
+// FleetLease holds or watches the fleet lease record.
+type FleetLease struct {
+	node   string
+	store  *bookkeeping.Store
+	clock  units.Clock
+	timing LeaseTiming
+	random *rand.Rand
+	log    *slog.Logger
+	nonce  string
+	// Connected tells whether this node hears workers or other controllers.
+	// One that hears nobody lets the others claim first.
+	Connected func() bool
+
+	mu         sync.Mutex
+	watch      watch
+	holding    bool
+	version    uint64
+	term       uint64
+	validUntil units.Micros
+	resigning  bool
+	notBefore  units.Micros
+	saves      uint64
+}
+
+// NewFleetLease makes the lease of a node.
+func NewFleetLease(node string, store *bookkeeping.Store, clock units.Clock, timing LeaseTiming, random *rand.Rand, log *slog.Logger) *FleetLease {
+	return &FleetLease{node: node, store: store, clock: clock, timing: timing, random: random, log: log,
+		nonce: fmt.Sprintf("%s-%016x", node, random.Uint64()), watch: watch{timing: timing},
+		Connected: func() bool { return true }}
+}
+
+// Valid tells whether this node surely holds the lease now, for the term.
+func (f *FleetLease) Valid(term uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holding && !f.resigning && f.term == term && f.clock.Steady() < f.validUntil
+}
+
+// Remaining is how long the lease still holds, 0 if it does not.
+func (f *FleetLease) Remaining() units.Micros {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.holding || f.resigning {
+		return 0
+	}
+	return max(0, f.validUntil-f.clock.Steady())
+}
+
+// Leader names the node that holds the lease as far as this one knows.
+func (f *FleetLease) Leader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holding {
+		return f.node
+	}
+	if !f.watch.seen || f.watch.record.Resigned {
+		return ""
+	}
+	return f.watch.record.Holder
+}
+
+// Resign gives the lease up, for a leader that could not do its work.
+func (f *FleetLease) Resign() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resigning = true
+}
+
+// Run keeps the lease or waits for it, until ctx ends. While a term lasts,
+// lead runs with a context that ends when the term is lost for good. A lease
+// that merely lapsed, with the record unchanged, is renewed in the same term.
+func (f *FleetLease) Run(ctx context.Context, lead func(ctx context.Context, term uint64)) {
+	end := func() {}
+	defer func() { end() }()
+	for ctx.Err() == nil {
+		var pause units.Micros
+		if f.isHolding() {
+			pause = f.renew(ctx)
+		} else {
+			end()
+			end = func() {}
+			pause = f.follow(ctx)
+			if f.isHolding() {
+				end = start(ctx, f.Term(), lead)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.Duration()):
+		}
+	}
+}
+
+// start runs lead and gives a function that ends it and waits for it.
+func start(ctx context.Context, term uint64, lead func(ctx context.Context, term uint64)) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lead(ctx, term)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// Term is the term that this node holds, if it does.
+func (f *FleetLease) Term() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term
+}
+
+func (f *FleetLease) isHolding() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holding
+}
+
+func (f *FleetLease) saveID() string {
+	f.saves++
+	return fmt.Sprintf("%s-%d", f.nonce, f.saves)
+}
+
+const (
+	leaseCall  = 900 * units.Millisecond
+	retryPause = 150 * units.Millisecond
+)
+
+// write commits the lease record on a version, and finds out what became of
+// it if no answer comes. It gives the version that now stands and whether the
+// record is the one written.
+func (f *FleetLease) write(ctx context.Context, rec bookkeeping.Lease, on uint64) (uint64, bool, error) {
+	rev, err := f.store.Commit(ctx, protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.KeyFleet, Version: on}},
+		Then: []protocol.Change{{Set: bookkeeping.KeyFleet, Value: protocol.Encode(rec)}},
+	}, true, leaseCall)
+	var conflict *bookkeeping.ConflictError
+	switch {
+	case err == nil:
+		return rev, true, nil
+	case errors.As(err, &conflict), errors.Is(err, bookkeeping.ErrUncertain):
+		// Either another node was faster, or an earlier save of ours that got
+		// no answer was carried out after all. The record tells.
+		now, version, rerr := f.read(ctx)
+		if rerr != nil {
+			return 0, false, rerr
+		}
+		return version, now.Save == rec.Save, nil
+	}
+	return 0, false, err
+}
+
+func (f *FleetLease) read(ctx context.Context) (bookkeeping.Lease, uint64, error) {
+	var rec bookkeeping.Lease
+	item, ok, err := f.store.Get(ctx, bookkeeping.KeyFleet, leaseCall)
+	if err != nil || !ok {
+		return rec, 0, err
+	}
+	if err := protocol.Decode(item.Value, &rec); err != nil {
+		return rec, 0, fmt.Errorf("record %s: %w", bookkeeping.KeyFleet, err)
+	}
+	return rec, item.Version, nil
+}
+
+// renew prolongs the lease by one save. The lease counts from when the save
+// was sent, since nobody can have seen it earlier.
+func (f *FleetLease) renew(ctx context.Context) units.Micros {
+	f.mu.Lock()
+	rec := bookkeeping.Lease{Holder: f.node, Incarnation: f.term, Save: f.saveID(), Resigned: f.resigning}
+	on, sent := f.version, f.clock.Steady()
+	f.mu.Unlock()
+	version, ours, err := f.write(ctx, rec, on)
+	if err != nil {
+		if !errors.Is(err, bookkeeping.ErrRefused) && !errors.Is(err, bookkeeping.ErrUncertain) {
+			f.log.Error("fleet lease not renewed", "term", rec.Incarnation, "error", err)
+		}
+		return retryPause
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ours {
+		f.version = version
+		if rec.Resigned {
+			f.lose("resigned")
+			f.notBefore = f.clock.Steady() + 2*f.timing.Length
+			return f.timing.Renew
+		}
+		f.validUntil = sent + f.timing.Length
+		return f.timing.Renew
+	}
+	return f.resolve(ctx, on, version)
+}
+
+// resolve is called, locked, after a save that was not carried out or whose
+// outcome is open.
+func (f *FleetLease) resolve(ctx context.Context, on, version uint64) units.Micros {
+	if version == on {
+		return retryPause // not carried out yet; the next save decides
+	}
+	f.mu.Unlock()
+	rec, v, err := f.read(ctx)
+	f.mu.Lock()
+	if err != nil {
+		return retryPause
+	}
+	if rec.Holder == f.node && rec.Incarnation == f.term && f.isOwn(rec.Save) {
+		f.version = v // an earlier save of ours, carried out late
+		return 0
+	}
+	f.lose("claimed by " + rec.Holder)
+	f.watch.saw(rec, v, f.clock.Steady())
+	return 0
+}
+
+func (f *FleetLease) isOwn(save string) bool {
+	return len(save) > len(f.nonce) && save[:len(f.nonce)] == f.nonce
+}
+
+func (f *FleetLease) lose(why string) {
+	f.log.Info("fleet lease lost", "term", f.term, "why", why)
+	f.holding, f.resigning, f.validUntil = false, false, 0
+	f.watch = watch{timing: f.timing}
+}
+
+// follow reads the record once and claims it when that is due.
+func (f *FleetLease) follow(ctx context.Context) units.Micros {
+	rec, version, err := f.read(ctx)
+	f.mu.Lock()
+	now := f.clock.Steady()
+	if err != nil {
+		f.watch.failed()
+		f.mu.Unlock()
+		if !errors.Is(err, bookkeeping.ErrRefused) && !errors.Is(err, bookkeeping.ErrUncertain) {
+			f.log.Error("fleet lease not readable", "error", err)
+		}
+		return f.timing.Poll
+	}
+	f.watch.saw(rec, version, now)
+	due := f.watch.claimable(f.node, now) && now >= f.notBefore
+	rec, version, since := f.watch.record, f.watch.version, f.watch.since
+	f.mu.Unlock()
+	if !due {
+		// Poll more closely near the end, spread so that nodes do not race.
+		left := withDrift(f.timing.Length, f.timing.Margin) - (now - since)
+		jitter := units.Micros(f.random.Int64N(int64(100 * units.Millisecond)))
+		return max(20*units.Millisecond, min(f.timing.Poll, left)) + jitter
+	}
+	if !f.Connected() && now-since < 3*f.timing.Length {
+		return f.timing.Poll
+	}
+	return f.claim(ctx, rec, version)
+}
+
+// claim takes the record over by a conditional save that raises the
+// incarnation by one.
+func (f *FleetLease) claim(ctx context.Context, old bookkeeping.Lease, version uint64) units.Micros {
+	f.mu.Lock()
+	rec := bookkeeping.Lease{Holder: f.node, Incarnation: old.Incarnation + 1, Save: f.saveID()}
+	sent := f.clock.Steady()
+	f.mu.Unlock()
+	now, ours, err := f.write(ctx, rec, version)
+	if err != nil || !ours {
+		return retryPause
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holding, f.resigning, f.term, f.version = true, false, rec.Incarnation, now
+	f.validUntil = sent + f.timing.Length
+	f.log.Info("fleet lease claimed", "term", f.term, "from", old.Holder)
+	return f.timing.Renew
+}
--- /dev/null
+++ b/internal/coordination/metrics.go
@@ -0,0 +1,66 @@
+package coordination
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// Metrics is what a node counts and shows under /metrics.
+type Metrics struct {
+	set       *metrics.Set
+	placement *metrics.Histogram
+}
+
+// NewMetrics makes the metrics of one node.
+func NewMetrics() *Metrics {
+	set := metrics.NewSet()
+	return &Metrics{set: set, placement: set.NewHistogram("dunestand_placement_delay_seconds")}
+}
+
+func (m *Metrics) placed(delay units.Micros) { m.placement.Update(delay.Seconds()) }
+
+// Gauge adds a value that is worked out when it is asked for.
+func (m *Metrics) Gauge(name string, value func() float64) { m.set.NewGauge(name, value) }
+
+// Text writes the metrics; term may be nil.
+func (m *Metrics) Text(term *Term) []byte {
+	var b bytes.Buffer
+	m.set.WritePrometheus(&b)
+	if term != nil {
+		term.writeQueue(&b)
+	}
+	return b.Bytes()
+}
+
+// writeQueue writes what waits and runs, by class and priority.
+func (t *Term) writeQueue(b *bytes.Buffer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	type key struct {
+		class    string
+		priority protocol.Priority
+	}
+	pending, running := map[key]int{}, map[key]int{}
+	for _, j := range t.ledger.Jobs {
+		k := key{j.Spec.Class, j.Spec.Priority}
+		pending[k] += j.Pending()
+		running[k] += len(j.Live)
+	}
+	for k, n := range pending {
+		fmt.Fprintf(b, "dunestand_tasks_pending{class=%q,priority=%q} %d\n", k.class, k.priority.String(), n)
+		fmt.Fprintf(b, "dunestand_tasks_placed{class=%q,priority=%q} %d\n", k.class, k.priority.String(), running[k])
+	}
+	reporting := 0
+	now := t.Clock.Steady()
+	for _, m := range t.ledger.Machines {
+		if m.Seen && now-m.LastAnswered < t.silentAfter() {
+			reporting++
+		}
+	}
+	fmt.Fprintf(b, "dunestand_machines %d\ndunestand_machines_reporting %d\ndunestand_term %d\n", len(t.ledger.Machines), reporting, t.number)
+}
--- /dev/null
+++ b/internal/coordination/plan.go
@@ -0,0 +1,300 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// Snapshot is all that a round of decisions looks at. Planning is a pure
+// function of it: no clock, no input or output, no chance.
+type Snapshot struct {
+	Teams    []TeamView
+	Machines []MachineView
+	Jobs     []JobView
+	Batch    int // the most starts in this round
+}
+
+// TeamView is a team's limit and what may be running for it.
+type TeamView struct {
+	Guarantee, Limit, Used units.Resources
+}
+
+// MachineView is a machine.
+type MachineView struct {
+	Type, Zone string
+	Spot       bool
+	Accepts    bool // may be given work
+	Slow       bool
+	Free       units.Resources
+	Freeing    units.Resources // held by tasks that were told to stop
+	Images     func(name string) bool
+	Victims    []Victim
+}
+
+// Victim is a task that could be stopped to make room.
+type Victim struct {
+	Ref      int // the caller's own number for it
+	Team     int
+	Priority protocol.Priority
+	Need     units.Resources
+	Loses    units.Micros // the work that is lost by stopping it
+	CanSave  bool
+}
+
+// JobView is a job that has pending tasks.
+type JobView struct {
+	Spec       *protocol.JobSpec
+	Team       int
+	Guaranteed bool // within its team's guarantee
+	Rank       float64
+	Order      int64 // settles ties: the earlier submission first
+	Pending    int
+	LiveIn     map[string]int // tasks that may be on machines, by zone
+	Avoid      func(machine int) bool
+}
+
+// Starts is a number of a job's tasks to be started on a machine.
+type Starts struct{ Job, Machine, Count int }
+
+// Wanted is the outcome of a round.
+type Wanted struct {
+	Starts []Starts
+	Stops  []int // Victim.Ref
+}
+
+// planner is a round in the making. It changes its copies of the views.
+type planner struct {
+	s     *Snapshot
+	out   Wanted
+	batch int
+	taken map[int]bool // victims chosen
+}
+
+// Plan decides what to start and what to stop. Jobs go by priority; within
+// the urgent priorities and within the others, jobs inside their team's
+// guarantee go first; then by rank.
+func Plan(s *Snapshot) Wanted {
+	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}}
+	order := make([]int, len(s.Jobs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return compareJobs(&s.Jobs[a], &s.Jobs[b]) })
+	for _, i := range order {
+		if p.batch <= 0 {
+			break
+		}
+		j := &s.Jobs[i]
+		p.place(i, j)
+		if j.Pending > 0 {
+			p.preempt(i, j)
+		}
+	}
+	return p.out
+}
+
+func compareJobs(a, b *JobView) int {
+	urgent := func(j *JobView) int {
+		if j.Spec.Priority >= protocol.High {
+			return int(j.Spec.Priority)
+		}
+		return 0
+	}
+	guaranteed := func(j *JobView) int {
+		if j.Guaranteed {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		-cmp.Compare(urgent(a), urgent(b)),
+		-cmp.Compare(guaranteed(a), guaranteed(b)),
+		-cmp.Compare(a.Spec.Priority, b.Spec.Priority),
+		cmp.Compare(a.Rank, b.Rank),
+		cmp.Compare(a.Order, b.Order),
+		cmp.Compare(a.Spec.ID, b.Spec.ID),
+	)
+}
+
+// headroom is how many more tasks of the job its team's limit allows.
+func (p *planner) headroom(j *JobView) int {
+	t := &p.s.Teams[j.Team]
+	return t.Limit.Plus(t.Used, -1).Fits(j.Spec.Need)
+}
+
+// zoneRoom is how many more tasks of the job may be in a zone, and whether
+// the zone is allowed at all.
+func zoneRoom(j *JobView, zone string) int {
+	if j.Spec.Zone != "" && j.Spec.Zone != zone {
+		return 0
+	}
+	room := j.Spec.Tasks
+	if j.Spec.Spread {
+		room = (j.Spec.Tasks+1)/2 - j.LiveIn[zone]
+	}
+	if j.Spec.OneZone {
+		for other, n := range j.LiveIn {
+			if n > 0 && other != zone {
+				return 0
+			}
+		}
+	}
+	return room
+}
+
+// allowed tells whether a job's tasks may be on machines of this kind.
+func allowed(spec *protocol.JobSpec, typ, zone string, spot bool) bool {
+	return (spec.Types == nil || slices.Contains(spec.Types, typ)) &&
+		(spec.Zone == "" || spec.Zone == zone) && (spec.Spot || !spot)
+}
+
+func (p *planner) usable(i int, j *JobView) bool {
+	m := &p.s.Machines[i]
+	return m.Accepts && allowed(j.Spec, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 && !j.Avoid(i)
+}
+
+// place starts as many of the job's tasks as there is room for. The companion
+// is the machine with room that holds the image, else the one with most room
+// (DESIGN); among several that hold it, the one with most room. A slow
+// machine comes last, and gets no urgent work while another has room.
+func (p *planner) place(i int, j *JobView) {
+	for j.Pending > 0 && p.batch > 0 {
+		n := min(j.Pending, p.batch, p.headroom(j))
+		if n <= 0 {
+			return
+		}
+		best, bestKey := -1, [3]int64{}
+		for k := range p.s.Machines {
+			m := &p.s.Machines[k]
+			if !p.usable(k, j) || m.Free.Fits(j.Spec.Need) == 0 {
+				continue
+			}
+			if m.Slow && j.Spec.Priority >= protocol.High {
+				continue
+			}
+			key := [3]int64{0, 0, int64(m.Free.CPU)}
+			if !m.Slow {
+				key[0] = 1
+			}
+			if m.Images(j.Spec.Image) {
+				key[1] = 1
+			}
+			if best < 0 || slices.Compare(key[:], bestKey[:]) > 0 {
+				best, bestKey = k, key
+			}
+		}
+		if best < 0 {
+			return
+		}
+		m := &p.s.Machines[best]
+		n = min(n, m.Free.Fits(j.Spec.Need), zoneRoom(j, m.Zone))
+		p.start(i, j, best, n)
+	}
+}
+
+func (p *planner) start(i int, j *JobView, machine, n int) {
+	m := &p.s.Machines[machine]
+	m.Free = m.Free.Plus(j.Spec.Need, -n)
+	t := &p.s.Teams[j.Team]
+	t.Used = t.Used.Plus(j.Spec.Need, n)
+	j.LiveIn[m.Zone] += n
+	j.Pending -= n
+	p.batch -= n
+	p.out.Starts = append(p.out.Starts, Starts{Job: i, Machine: machine, Count: n})
+}
+
+// preempt chooses tasks to be stopped for what place found no room for. Room
+// that stopped tasks are about to leave is reckoned with first, so that no
+// round stops again for the same need.
+func (p *planner) preempt(i int, j *JobView) {
+	want := min(j.Pending, p.headroom(j))
+	for k := range p.s.Machines {
+		if want <= 0 {
+			return
+		}
+		m := &p.s.Machines[k]
+		if !p.usable(k, j) || m.Slow && j.Spec.Priority >= protocol.High {
+			continue
+		}
+		coming := min(m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need), want)
+		if coming > 0 {
+			p.reserve(m, j.Spec.Need, coming)
+			want -= coming
+		}
+	}
+	for k := range p.s.Machines {
+		m := &p.s.Machines[k]
+		if want <= 0 {
+			return
+		}
+		if !p.usable(k, j) || m.Slow {
+			continue
+		}
+		want -= p.preemptOn(m, j, want)
+	}
+}
+
+// reserve takes room that is free or about to be from the machine's views.
+func (p *planner) reserve(m *MachineView, need units.Resources, n int) {
+	total := m.Free.Plus(m.Freeing, 1).Plus(need, -n)
+	m.Freeing = units.Resources{CPU: min(m.Freeing.CPU, total.CPU), GPU: min(m.Freeing.GPU, total.GPU), Memory: min(m.Freeing.Memory, total.Memory)}
+	m.Free = total.Plus(m.Freeing, -1)
+}
+
+func (p *planner) preemptOn(m *MachineView, j *JobView, want int) int {
+	victims := make([]Victim, 0, len(m.Victims))
+	for _, v := range m.Victims {
+		if !p.taken[v.Ref] && p.mayStop(j, v) {
+			victims = append(victims, v)
+		}
+	}
+	slices.SortFunc(victims, func(a, b Victim) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Loses, b.Loses), cmp.Compare(a.Ref, b.Ref))
+	})
+	made := 0
+	room := m.Free.Plus(m.Freeing, 1)
+	var chosen []Victim
+	for _, v := range victims {
+		if made >= want {
+			break
+		}
+		if !p.mayStop(j, v) { // an earlier choice may have used up the team's excess
+			continue
+		}
+		room = room.Plus(v.Need, 1)
+		chosen = append(chosen, v)
+		if n := min(room.Fits(j.Spec.Need), want); n > made {
+			for _, c := range chosen {
+				p.taken[c.Ref] = true
+				p.out.Stops = append(p.out.Stops, c.Ref)
+				m.Freeing = m.Freeing.Plus(c.Need, 1)
+				t := &p.s.Teams[c.Team]
+				t.Used = t.Used.Plus(c.Need, -1)
+			}
+			chosen = nil
+			made = n
+		}
+	}
+	if made > 0 {
+		p.reserve(m, j.Spec.Need, made)
+	}
+	return made
+}
+
+// mayStop tells whether a task may be stopped to make room for a job: one of
+// lower priority, or one that its team runs beyond its guarantee while the
+// job is within its own.
+func (p *planner) mayStop(j *JobView, v Victim) bool {
+	if v.Priority < j.Spec.Priority && (v.CanSave || j.Spec.Priority >= protocol.High) {
+		return true
+	}
+	if !j.Guaranteed || v.Team == j.Team || v.Priority > j.Spec.Priority && v.Priority >= protocol.High {
+		return false
+	}
+	t := &p.s.Teams[v.Team]
+	rest := t.Used.Plus(v.Need, -1)
+	return rest.CPU >= t.Guarantee.CPU && rest.GPU >= t.Guarantee.GPU && t.Used.CPU > t.Guarantee.CPU
+}
--- /dev/null
+++ b/internal/coordination/report.go
@@ -0,0 +1,247 @@
+package coordination
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// durableWait is how long an answer to a report waits for the save that must
+// come before the starts it is to carry.
+const durableWait = 150 * units.Millisecond
+
+// Report takes in a worker's report and gives the commands for it. It is not
+// accepted (false) when this node may not command, or the report is an old
+// one.
+func (t *Term) Report(ctx context.Context, r *protocol.Report) (protocol.ReportAnswer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	answer := protocol.ReportAnswer{Term: t.number, Commands: []protocol.Command{}}
+	if !t.Lease.Valid(t.number) || r.Term > t.number {
+		return answer, false
+	}
+	if !t.ready {
+		if e, ok := t.early[r.Machine]; ok && !newer(r, e.report.Session, e.report.Seq) || len(t.early) >= maxEarly {
+			return answer, false
+		}
+		t.early[r.Machine] = earlyReport{r, now}
+		return answer, true
+	}
+	m := t.observe(r, now)
+	if m == nil {
+		return answer, false
+	}
+	if t.roundDue(now) {
+		t.round(now)
+	}
+	if wait := t.undurable(m); wait != nil {
+		kick(t.kickSave)
+		t.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+		case <-time.After(durableWait.Duration()):
+		}
+		t.mu.Lock()
+		if m.Session != r.Session || m.Seq != r.Seq || !t.Lease.Valid(t.number) {
+			return answer, false
+		}
+	}
+	answer.Commands = t.commands(m, r, now)
+	return answer, true
+}
+
+func newer(r *protocol.Report, session, seq uint64) bool {
+	return r.Session > session || r.Session == session && r.Seq > seq
+}
+
+// observe works out the difference between what a machine reports and what
+// the ledger says of it. Old reports, and those of machines that were
+// released, have no effect and give nil.
+func (t *Term) observe(r *protocol.Report, now units.Micros) *bookkeeping.Machine {
+	if _, gone := t.tombs[r.Machine]; gone {
+		return nil
+	}
+	m := t.ledger.Machine(r.Machine, r.Type, r.Zone, r.Spot, now)
+	if m.Seen && !newer(r, m.Session, m.Seq) {
+		return nil
+	}
+	if m.Seen && r.Session > m.Session {
+		t.Log.Info("machine began a new session", "machine", m.ID, "session", r.Session, "lost", len(m.Attempts))
+		t.ledger.Emptied(m, now)
+	}
+	if !m.Seen {
+		t.Log.Info("machine reports", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "tasks", len(r.Tasks))
+	}
+	m.Seen, m.Session, m.Seq, m.LastAnswered = true, r.Session, r.Seq, now
+	m.Stage = protocol.MachineRunning
+	if r.Noticed {
+		if m.NoticeEnds == 0 {
+			t.Log.Info("machine is to be taken", "machine", m.ID, "in_ms", r.Notice/units.Millisecond)
+		}
+		m.NoticeEnds = now + r.Notice
+	}
+	reported := make(map[bookkeeping.AttemptKey]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		task := &r.Tasks[i]
+		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
+		reported[key] = true
+		if task.Stage == protocol.TaskExited {
+			t.exited(m, key, task, now)
+		} else {
+			t.alive(m, key, task, now)
+		}
+	}
+	for key, a := range m.Attempts {
+		if reported[key] {
+			continue
+		}
+		switch {
+		case a.Stage == bookkeeping.Assigned:
+		case a.Stage == bookkeeping.Sent && r.Seq <= a.SentSeq:
+		default:
+			// Sent with an earlier answer that never arrived, or forgotten by
+			// the worker: a newer report without it proves it is not there.
+			t.Log.Debug("attempt is not there", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+			t.ledger.Gone(a, now)
+		}
+	}
+	// An answer of a former leader may still be on its way to the worker
+	// until the worker has seen our term. A machine that no record names was
+	// never sent anything.
+	if !m.Settled && (r.Term == t.number || !t.ledger.Doubtful(m.ID)) {
+		t.ledger.Settle(m, now)
+		kick(t.kickRound)
+	}
+	return m
+}
+
+func (t *Term) exited(m *bookkeeping.Machine, key bookkeeping.AttemptKey, task *protocol.TaskReport, now units.Micros) {
+	j, a := t.ledger.Jobs[key.Job], m.Attempts[key]
+	if a == nil {
+		if j != nil && task.Cause == protocol.CauseDone && key.Index < j.Spec.Tasks && !j.IsDone(key.Index) {
+			t.ledger.Done(j, key.Index, now)
+			if other := j.Live[key.Index]; other != nil {
+				other.Stop = true
+			}
+		}
+		return
+	}
+	t.Log.Debug("task ended", "task", a.Task(), "attempt", a.Number, "machine", m.ID, "cause", task.Cause, "saved", task.Saved)
+	switch task.Cause {
+	case protocol.CauseDone:
+		t.ledger.Completed(a, now)
+		t.ledger.Done(j, key.Index, now)
+		if j.Complete() {
+			kick(t.kickSave)
+		}
+	case protocol.CauseError:
+		t.ledger.Failed(a, now)
+		if m.SetAside {
+			t.Log.Info("machine set aside as faulty", "machine", m.ID, "task", a.Task())
+		}
+	case protocol.CauseNoRoom:
+		m.BlockedUntil = now + 2*units.Second
+	case protocol.CauseUnknown, protocol.CauseBusy:
+		j.RetryAt = now + units.Second
+	}
+	t.ledger.Gone(a, now)
+	if j.Cancelled && len(j.Live) == 0 {
+		j.Changed(now, true)
+		kick(t.kickSave)
+	}
+}
+
+func (t *Term) alive(m *bookkeeping.Machine, key bookkeeping.AttemptKey, task *protocol.TaskReport, now units.Micros) {
+	j, a := t.ledger.Jobs[key.Job], m.Attempts[key]
+	if a == nil {
+		if j == nil || key.Index >= j.Spec.Tasks || j.IsDone(key.Index) || j.Live[key.Index] != nil {
+			return // commands will stop it
+		}
+		a = t.ledger.Adopt(j, key.Index, key.Number, m, now)
+		t.Log.Debug("attempt adopted", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+	}
+	switch task.Stage {
+	case protocol.TaskFetching:
+		a.Stage = bookkeeping.Fetching
+	case protocol.TaskRunning:
+		if a.Stage != bookkeeping.Running {
+			a.Stage, a.RunningSince = bookkeeping.Running, now
+			t.ledger.HoldsImage(m, j)
+		}
+	case protocol.TaskSaving:
+		a.Stage = bookkeeping.Saving
+	}
+}
+
+// undurable gives a channel to wait on when some start for the machine lacks
+// the save that must come first.
+func (t *Term) undurable(m *bookkeeping.Machine) <-chan struct{} {
+	if !m.Settled {
+		return nil
+	}
+	for _, a := range m.Attempts {
+		if a.Stage == bookkeeping.Assigned && !a.Job.MayStartOn(m.ID) {
+			return a.Job.Saved()
+		}
+	}
+	return nil
+}
+
+// commands works out what the machine is to do: what is wanted of it minus
+// what its report shows.
+func (t *Term) commands(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) []protocol.Command {
+	out := []protocol.Command{}
+	for i := range r.Tasks {
+		task := &r.Tasks[i]
+		j := t.ledger.Jobs[task.Job]
+		name := protocol.TaskName(task.Job, task.Index)
+		a := m.Attempts[bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}]
+		switch {
+		case task.Stage == protocol.TaskExited:
+			// A completion that is not durable stays with the worker: a later
+			// leader must be able to learn of it.
+			if j == nil || j.Cancelled || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index) {
+				out = append(out, protocol.Command{Verb: protocol.Forget, Task: name, Attempt: task.Attempt})
+			}
+		case a == nil:
+			out = append(out, stopCommand(name, task.Attempt, 0))
+		case a.Job.Cancelled:
+			out = append(out, stopCommand(name, task.Attempt, 0))
+		case a.Stop && task.Stage != protocol.TaskSaving:
+			out = append(out, stopCommand(name, task.Attempt, a.Grace))
+		}
+	}
+	var starts []*bookkeeping.Attempt
+	for _, a := range m.Attempts {
+		if a.Stage == bookkeeping.Assigned {
+			starts = append(starts, a)
+		}
+	}
+	sort.Slice(starts, func(i, k int) bool { return starts[i].Number < starts[k].Number })
+	for _, a := range starts {
+		switch {
+		case a.Stop || a.Job.Cancelled || a.Job.IsDone(a.Index):
+			t.ledger.Gone(a, now) // it was never sent
+			if a.Job.Cancelled {
+				a.Job.Changed(now, true)
+				kick(t.kickSave)
+			}
+		case m.Settled && a.Job.MayStartOn(m.ID) && len(out) < protocol.MaxCommands:
+			a.Stage, a.SentSeq = bookkeeping.Sent, r.Seq
+			out = append(out, protocol.Command{Verb: protocol.Start, Task: a.Task(), Attempt: a.Number})
+			t.Log.Debug("start sent", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+		}
+	}
+	return out
+}
+
+func stopCommand(task string, attempt uint64, grace units.Micros) protocol.Command {
+	g := grace.Seconds()
+	return protocol.Command{Verb: protocol.Stop, Task: task, Attempt: attempt, Grace: &g}
+}
--- /dev/null
+++ b/internal/coordination/round.go
@@ -0,0 +1,267 @@
+package coordination
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/units"
+)
+
+const (
+	roundPause  = 25 * units.Millisecond // the least time between rounds
+	roundTick   = 250 * units.Millisecond
+	roundsShare = 8  // a round's cost, this many times over, until the next
+	batchBase   = 48 // starts in a round while little waits
+	batchMost   = 512
+)
+
+// roundLoop makes rounds of decisions when something has changed.
+func (t *Term) roundLoop(ctx context.Context) {
+	for pause(ctx, roundPause) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kickRound:
+		case <-time.After(roundTick.Duration()):
+		}
+		t.mu.Lock()
+		now := t.Clock.Steady()
+		if t.Lease.Valid(t.number) {
+			t.expire(now)
+			if t.roundDue(now) {
+				t.round(now)
+			} else {
+				kick(t.kickRound)
+			}
+		}
+		t.mu.Unlock()
+	}
+}
+
+// roundDue spaces rounds by what they cost, so that under load they come less
+// often and decide more each.
+func (t *Term) roundDue(now units.Micros) bool {
+	return now-t.lastRound >= max(roundPause, min(t.roundCost*roundsShare, units.Second))
+}
+
+// expire gives up what silent machines held once their leases have run out.
+func (t *Term) expire(now units.Micros) {
+	lease := withDrift(t.Settings.Fleet.Workers.Lease(), 500*units.Millisecond)
+	for _, m := range t.ledger.Machines {
+		if now-max(m.LastAnswered, t.claimedAt) < lease {
+			continue
+		}
+		if len(m.Attempts) > 0 {
+			t.Log.Info("machine's lease ran out", "machine", m.ID, "lost", len(m.Attempts))
+			t.ledger.Emptied(m, now)
+		}
+		if !m.Settled {
+			t.ledger.Settle(m, now)
+		}
+	}
+	if now-t.claimedAt >= lease {
+		for id := range t.doubtful() {
+			if t.ledger.Machines[id] == nil {
+				t.ledger.SettleName(id)
+			}
+		}
+	}
+	for _, j := range t.ledger.Jobs {
+		if j.Cancelled && len(j.Live) == 0 && len(j.Doubts) == 0 && j.CancelStored && !j.Ending() {
+			j.Changed(now, true)
+			kick(t.kickSave)
+		}
+	}
+}
+
+// round plans on a snapshot and takes the outcome over into the ledger.
+func (t *Term) round(now units.Micros) {
+	began := t.Clock.Steady()
+	s, refs := t.snapshot(now)
+	wanted := Plan(&s)
+	for _, w := range wanted.Starts {
+		j, m := refs.jobs[w.Job], refs.machines[w.Machine]
+		for range w.Count {
+			t.attempts++
+			a := t.ledger.Assign(j, m, t.number<<32|t.attempts, now)
+			if a == nil {
+				break
+			}
+			t.Log.Debug("task placed", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+			t.Metrics.placed(now - j.Since)
+		}
+		if !j.MayStartOn(m.ID) {
+			kick(t.kickSave)
+		}
+	}
+	for _, ref := range wanted.Stops {
+		a := refs.victims[ref]
+		a.Stop, a.Grace = true, a.Job.Spec.Save+2*units.Second
+		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID)
+	}
+	t.lastRound = t.Clock.Steady()
+	t.roundCost = (7*t.roundCost + (t.lastRound - began)) / 8
+}
+
+type snapshotRefs struct {
+	jobs     []*bookkeeping.Job
+	machines []*bookkeeping.Machine
+	victims  []*bookkeeping.Attempt
+}
+
+// silentAfter is how long a machine may be silent before it is thought to be
+// in trouble: two reports and what a lost connection costs.
+func (t *Term) silentAfter() units.Micros {
+	return t.Settings.Fleet.Workers.Report().Share(5, 2) + 1500*units.Millisecond
+}
+
+func (t *Term) snapshot(now units.Micros) (Snapshot, snapshotRefs) {
+	var s Snapshot
+	var refs snapshotRefs
+	teams := map[string]int{}
+	for _, name := range sortedKeys(t.ledger.Teams) {
+		team := t.ledger.Teams[name]
+		teams[name] = len(s.Teams)
+		s.Teams = append(s.Teams, TeamView{Guarantee: team.Guarantee, Limit: team.Limit, Used: t.ledger.UsedIn(team)})
+	}
+	for _, id := range sortedKeys(t.ledger.Machines) {
+		m := t.ledger.Machines[id]
+		if !m.Seen {
+			continue
+		}
+		t.drain(m, now)
+		view := MachineView{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Free: m.Free(), Images: m.HasImage}
+		view.Accepts = m.Settled && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
+			now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
+		for _, a := range m.Sorted() {
+			if a.Stop {
+				view.Freeing = view.Freeing.Plus(a.Job.Spec.Need, 1)
+				continue
+			}
+			if a.Stage != bookkeeping.Running && a.Stage != bookkeeping.Fetching || !view.Accepts {
+				continue
+			}
+			team, ok := teams[a.Job.Spec.Team]
+			if !ok {
+				continue
+			}
+			v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need}
+			if a.Stage == bookkeeping.Running {
+				v.Loses = now - a.RunningSince
+			}
+			if every := a.Job.Spec.Checkpoint; every > 0 {
+				v.Loses, v.CanSave = a.Job.Spec.Save, true
+			}
+			refs.victims = append(refs.victims, a)
+			view.Victims = append(view.Victims, v)
+		}
+		s.Machines = append(s.Machines, view)
+		refs.machines = append(refs.machines, m)
+	}
+	waiting := 0
+	committed := make([]units.Resources, len(s.Teams))
+	for _, j := range t.jobsInOrder() {
+		team, ok := teams[j.Spec.Team]
+		if !ok {
+			continue
+		}
+		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
+		if !j.Waiting() || now < j.RetryAt || len(j.Doubts) > 0 {
+			continue
+		}
+		g := s.Teams[team].Guarantee
+		view := JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(),
+			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
+			LiveIn:     map[string]int{},
+			Avoid: func(k int) bool {
+				m := refs.machines[k]
+				return j.ErrorsOn[m.ID] && len(j.ErrorsOn) < 3 || !j.CanName(m.ID)
+			}}
+		if j.Spec.OneZone || j.Spec.Spread {
+			for _, a := range j.Live {
+				view.LiveIn[a.Machine.Zone]++
+			}
+		}
+		view.Rank = t.rank(j, now)
+		waiting += view.Pending
+		s.Jobs = append(s.Jobs, view)
+		refs.jobs = append(refs.jobs, j)
+	}
+	s.Batch = min(batchBase+waiting/8, batchMost)
+	return s, refs
+}
+
+func (t *Term) rank(j *bookkeeping.Job, now units.Micros) float64 {
+	return t.Policy.Rank(t.rankInput(j, now))
+}
+
+func (t *Term) rankInput(j *bookkeeping.Job, now units.Micros) config.RankInput {
+	waited := max(0, t.Clock.Wall()-j.Submitted)
+	estimate := t.ledger.Estimate(j)
+	in := config.RankInput{
+		Class: j.Spec.Class, Team: j.Spec.Team, Priority: int(j.Spec.Priority),
+		Tasks: j.Spec.Tasks, Unfinished: j.Unfinished(), Pending: j.Pending(),
+		WaitedS: waited.Seconds(), RunS: estimate.Seconds(),
+		WorkS: estimate.Seconds() * float64(j.Unfinished()) * j.Spec.Need.CPU.Float(),
+		DueS:  config.NoDeadline,
+	}
+	if due := t.Settings.Fleet.Due(j.Spec.Class, j.Spec.Deadline); due > 0 {
+		in.DueS = (due - waited).Seconds()
+	}
+	return in
+}
+
+// drain stops what would be lost when a machine is taken away, in time for it
+// to be saved or begun anew elsewhere.
+func (t *Term) drain(m *bookkeeping.Machine, now units.Micros) {
+	if m.NoticeEnds == 0 && !m.SetAside {
+		return
+	}
+	left := m.NoticeEnds - now
+	report := t.Settings.Fleet.Workers.Report()
+	for _, a := range m.Attempts {
+		if a.Stop {
+			continue
+		}
+		run := t.ledger.Estimate(a.Job)
+		if a.RunningSince > 0 {
+			run -= now - a.RunningSince
+		}
+		switch {
+		case m.SetAside:
+		case run < left && run > 0: // it will be done in time
+			continue
+		case a.Job.Spec.Checkpoint > 0 && left > a.Job.Spec.Save+3*report: // saving can wait
+			continue
+		}
+		a.Stop, a.Grace = true, a.Job.Spec.Save+units.Second
+		t.Log.Info("task drained", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+	}
+}
+
+// jobsInOrder lists the jobs in the order of their submission.
+func (t *Term) jobsInOrder() []*bookkeeping.Job {
+	jobs := make([]*bookkeeping.Job, 0, len(t.ledger.Jobs))
+	for _, j := range t.ledger.Jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool {
+		if a, b := jobs[i].Submitted, jobs[k].Submitted; a != b {
+			return a < b
+		}
+		return jobs[i].Spec.ID < jobs[k].Spec.ID
+	})
+	return jobs
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/coordination/term.go
@@ -0,0 +1,418 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// Deps is what a term works with.
+type Deps struct {
+	Settings *config.Settings
+	Policy   *config.Policy
+	Store    *bookkeeping.Store
+	Cloud    *bookkeeping.Cloud
+	Lease    *FleetLease
+	Clock    units.Clock
+	Log      *slog.Logger
+	Metrics  *Metrics
+}
+
+// Term is one node's time as leader. What it knows is gone with it.
+type Term struct {
+	Deps
+	number    uint64
+	claimedAt units.Micros
+
+	mu        sync.Mutex
+	ready     bool
+	ledger    *bookkeeping.Ledger
+	heads     []uint64
+	early     map[string]earlyReport // reports that came in before the restore was done
+	finals    *finalCache
+	attempts  uint64
+	saves     uint64
+	hires     uint64
+	lastRound units.Micros
+	roundCost units.Micros // moving mean
+	tombs     map[string]units.Micros
+	saving    int
+	rent      renting
+	cloudBad  bool
+
+	kickSave  chan struct{}
+	kickRound chan struct{}
+}
+
+type earlyReport struct {
+	report *protocol.Report
+	at     units.Micros
+}
+
+// maxEarly bounds the reports kept while a restore goes on.
+const maxEarly = 4096
+
+// NewTerm starts a term that was just claimed. Reports may be answered at
+// once; everything else waits for Run to restore the records.
+func NewTerm(number uint64, deps Deps) *Term {
+	deps.Log = deps.Log.With("term", number)
+	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(),
+		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams), heads: make([]uint64, bookkeeping.Buckets),
+		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{},
+		rent:     newRenting(),
+		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1)}
+}
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits, and tells whether to go on.
+func pause(ctx context.Context, d units.Micros) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d.Duration()):
+		return true
+	}
+}
+
+// Run restores the records and then leads until ctx ends.
+func (t *Term) Run(ctx context.Context) {
+	t.Log.Info("term begins")
+	for !t.restore(ctx) {
+		if !pause(ctx, 200*units.Millisecond) {
+			return
+		}
+	}
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			loop(ctx)
+		}()
+	}
+	wg.Wait()
+	t.Log.Info("term ends")
+}
+
+const stateCall = 1500 * units.Millisecond
+
+// restore claims the buckets and reads their jobs.
+func (t *Term) restore(ctx context.Context) bool {
+	if err := t.claimBuckets(ctx); err != nil {
+		t.Log.Info("buckets not claimed yet", "error", err)
+		return false
+	}
+	rows, err := t.listAll(ctx, bookkeeping.PrefixJobs)
+	if err != nil {
+		t.Log.Info("records not read yet", "error", err)
+		return false
+	}
+	jobs, err := bookkeeping.ParseJobs(rows)
+	if err != nil {
+		// Leading without such a job would forget it, so nobody leads until
+		// an operator has looked.
+		t.Log.Error("records are not readable; nothing is placed", "error", err)
+		return false
+	}
+	item, ok, err := t.Store.Get(ctx, bookkeeping.KeyCatalog, stateCall)
+	if err != nil {
+		return false
+	}
+	var catalog protocol.Catalog
+	if ok {
+		if err := protocol.Decode(item.Value, &catalog); err != nil {
+			t.Log.Error("stored catalog is not readable", "error", err)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	t.ledger.SetTypes(catalog.Types)
+	t.rent.catalogVersion = item.Version
+	for _, j := range jobs {
+		j.Since = now
+		t.ledger.Jobs[j.Spec.ID] = j
+	}
+	t.ready = true
+	for _, e := range t.early {
+		t.observe(e.report, e.at)
+	}
+	t.early = nil
+	t.Log.Info("records restored", "jobs", len(jobs), "doubtful_machines", len(t.doubtful()), "took_ms", (now-t.claimedAt)/units.Millisecond)
+	kick(t.kickRound)
+	return true
+}
+
+// claimBuckets raises every bucket's incarnation, a transaction's worth at a
+// time: from then on, saves of a former leader that are still on their way
+// fail.
+func (t *Term) claimBuckets(ctx context.Context) error {
+	items, err := t.listAll(ctx, bookkeeping.PrefixHeads)
+	if err != nil {
+		return err
+	}
+	byKey := map[string]protocol.Item{}
+	for _, i := range items {
+		byKey[i.Key] = i
+	}
+	step := t.Settings.Fleet.State.TxnOps
+	for from := 0; from < bookkeeping.Buckets; from += step {
+		var txn protocol.Txn
+		to := min(from+step, bookkeeping.Buckets)
+		for b := from; b < to; b++ {
+			key := bookkeeping.KeyHead(b)
+			var head bookkeeping.Lease
+			if item, ok := byKey[key]; ok {
+				if err := protocol.Decode(item.Value, &head); err != nil {
+					return fmt.Errorf("record %s: %w", key, err)
+				}
+			}
+			head = bookkeeping.Lease{Holder: t.Settings.Node, Incarnation: head.Incarnation + 1, Save: t.saveID()}
+			txn.If = append(txn.If, protocol.Condition{Key: key, Version: byKey[key].Version})
+			txn.Then = append(txn.Then, protocol.Change{Set: key, Value: protocol.Encode(head)})
+		}
+		version, err := t.Store.Commit(ctx, txn, true, stateCall)
+		if err != nil {
+			return err // claimed once more from the start, with the versions then read
+		}
+		for b := from; b < to; b++ {
+			t.heads[b] = version
+		}
+	}
+	return nil
+}
+
+func (t *Term) listAll(ctx context.Context, prefix string) ([]protocol.Item, error) {
+	var all []protocol.Item
+	from := ""
+	for {
+		page, err := t.Store.List(ctx, prefix, from, 3*units.Second)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, nil
+		}
+		from = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (t *Term) saveID() string {
+	t.saves++
+	return fmt.Sprintf("%d-%d", t.number, t.saves)
+}
+
+const (
+	maxSaving  = 3                       // saves on their way at a time
+	lazySave   = units.Second            // changes nobody waits for are gathered so long
+	saveGather = 2 * units.Millisecond   // submissions that come together are saved together
+	saveTick   = 200 * units.Millisecond // for the changes nobody waits for
+)
+
+// saveLoop writes changed records.
+func (t *Term) saveLoop(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kickSave:
+			if !pause(ctx, saveGather) {
+				return
+			}
+		case <-time.After(saveTick.Duration()):
+		}
+		for {
+			t.mu.Lock()
+			var s *bookkeeping.Save
+			if t.saving < maxSaving {
+				s = t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{
+					Ops: t.Settings.Fleet.State.TxnOps, Lazy: lazySave, Tasks: t.Store.WritesSpare()}, t.Clock.Steady())
+			}
+			if s != nil {
+				t.saving++
+			}
+			t.mu.Unlock()
+			if s == nil {
+				break
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				t.commit(ctx, s)
+				t.mu.Lock()
+				t.saving--
+				t.mu.Unlock()
+				kick(t.kickSave)
+			}()
+		}
+	}
+}
+
+// commit carries a save through. A save without an answer may be carried out
+// at any later time, so the very same one is sent until its outcome is known:
+// its conditions see to it that it happens once.
+func (t *Term) commit(ctx context.Context, s *bookkeeping.Save) {
+	uncertain := false
+	for wait := 100 * units.Millisecond; ; wait = min(2*wait, 400*units.Millisecond) {
+		version, err := t.Store.Commit(ctx, s.Txn, false, stateCall)
+		if err == nil {
+			t.applied(s, version)
+			return
+		}
+		var conflict *bookkeeping.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			if uncertain {
+				version, ours, err := t.probe(ctx, s)
+				if err != nil {
+					break
+				}
+				if ours {
+					t.applied(s, version)
+					return
+				}
+			}
+			t.conflicted(ctx, s, conflict)
+			return
+		case errors.Is(err, bookkeeping.ErrUncertain):
+			uncertain = true
+		case !errors.Is(err, bookkeeping.ErrRefused):
+			t.Log.Error("save rejected", "jobs", s.Jobs(), "error", err)
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (t *Term) probe(ctx context.Context, s *bookkeeping.Save) (uint64, bool, error) {
+	item, ok, err := t.Store.Get(ctx, s.Probe(), stateCall)
+	if err != nil || !ok {
+		return 0, false, err
+	}
+	var rec struct {
+		Save string `cbor:"save"`
+	}
+	if err := protocol.Decode(item.Value, &rec); err != nil {
+		return 0, false, err
+	}
+	return item.Version, rec.Save == s.ID, nil
+}
+
+func (t *Term) applied(s *bookkeeping.Save, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, f := range t.ledger.Applied(s, version) {
+		t.finals.put(id, f)
+		t.Log.Info("job over", "job", id, "stage", f.Stage, "done", f.Done)
+	}
+	kick(t.kickRound)
+}
+
+// conflicted handles a save that was certainly not carried out: either it
+// submits the id of a job that is over, or somebody else has claimed our
+// buckets and this term is at its end.
+func (t *Term) conflicted(ctx context.Context, s *bookkeeping.Save, c *bookkeeping.ConflictError) {
+	over := map[string]bookkeeping.Final{}
+	for _, key := range c.Keys {
+		id, isFinal := bookkeeping.JobOfFinal(key)
+		if !isFinal {
+			t.Log.Error("save met another writer's version; the term is given up", "keys", c.Keys, "jobs", s.Jobs())
+			t.Lease.Resign()
+			return
+		}
+		for {
+			f, ok, err := t.readFinal(ctx, id)
+			if err == nil {
+				if ok {
+					over[id] = f
+				}
+				break
+			}
+			if !pause(ctx, 200*units.Millisecond) {
+				return
+			}
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Refused(s, t.Clock.Steady())
+	for id, f := range over {
+		t.finals.put(id, f)
+		t.ledger.Drop(id)
+	}
+}
+
+func (t *Term) readFinal(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
+	return ReadFinal(ctx, t.Store, id)
+}
+
+// ReadFinal reads a finished job's record.
+func ReadFinal(ctx context.Context, store *bookkeeping.Store, id string) (bookkeeping.Final, bool, error) {
+	var f bookkeeping.Final
+	item, ok, err := store.Get(ctx, bookkeeping.KeyFinal(id), 1200*units.Millisecond)
+	if err != nil || !ok {
+		return f, false, err
+	}
+	if err := protocol.Decode(item.Value, &f); err != nil || !f.Stage.Final() {
+		return f, false, fmt.Errorf("record %s is not readable: %w", item.Key, err)
+	}
+	return f, true, nil
+}
+
+// doubtful names the machines that may hold tasks nobody has told us of.
+func (t *Term) doubtful() map[string]bool {
+	names := map[string]bool{}
+	for _, j := range t.ledger.Jobs {
+		for m := range j.Doubts {
+			names[m] = true
+		}
+	}
+	return names
+}
+
+// finalCache keeps the final states of the jobs asked about last, with a
+// bound on their number.
+type finalCache struct {
+	most     int
+	old, new map[string]bookkeeping.Final
+}
+
+func newFinalCache(most int) *finalCache {
+	return &finalCache{most: most, old: map[string]bookkeeping.Final{}, new: map[string]bookkeeping.Final{}}
+}
+
+func (c *finalCache) put(id string, f bookkeeping.Final) {
+	if len(c.new) >= c.most/2 {
+		c.old, c.new = c.new, map[string]bookkeeping.Final{}
+	}
+	c.new[id] = f
+}
+
+func (c *finalCache) get(id string) (bookkeeping.Final, bool) {
+	if f, ok := c.new[id]; ok {
+		return f, true
+	}
+	f, ok := c.old[id]
+	if ok {
+		c.put(id, f)
+	}
+	return f, ok
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,280 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/transport"
+	"dunestand/internal/units"
+)
+
+// acceptWait is how long a submission or cancellation waits for its save. A
+// save that takes longer meets trouble, and the user is told to come back.
+const acceptWait = 1500 * units.Millisecond
+
+// Refuse gives the answer that refuses a request in one line.
+func Refuse(status int, why string) transport.Response {
+	r := transport.Response{Status: status, Body: protocol.Encode(protocol.Problem{Error: why})}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		r.RetryAfter = 1
+	}
+	return r
+}
+
+func unavailable(why string) transport.Response { return Refuse(http.StatusServiceUnavailable, why) }
+
+func stateAnswer(status int, s protocol.JobState) transport.Response {
+	return transport.Response{Status: status, Body: protocol.Encode(s)}
+}
+
+func finalAnswer(id string, f bookkeeping.Final) transport.Response {
+	return stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: f.Stage, Done: f.Done})
+}
+
+func jobAnswer(status int, j *bookkeeping.Job) transport.Response {
+	s := protocol.JobState{UID: j.Spec.ID, Stage: protocol.StagePending, Done: j.DoneCount(), Running: j.Running()}
+	switch {
+	case j.CancelStored:
+		s.Stage = protocol.StageCancelled
+	case s.Running > 0 || s.Done > 0:
+		s.Stage = protocol.StageRunning
+	}
+	return stateAnswer(status, s)
+}
+
+// leads tells, under the lock, whether this node may speak for the service.
+func (t *Term) leads() bool { return t.ready && t.Lease.Valid(t.number) }
+
+// final finds the final state of a job that is not live.
+func (t *Term) final(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
+	t.mu.Lock()
+	f, ok := t.finals.get(id)
+	t.mu.Unlock()
+	if ok {
+		return f, true, nil
+	}
+	f, ok, err := t.readFinal(ctx, id)
+	if ok {
+		t.mu.Lock()
+		t.finals.put(id, f)
+		t.mu.Unlock()
+	}
+	return f, ok, err
+}
+
+// maxJobs bounds the jobs that are live at a time by the memory there is.
+func (t *Term) maxJobs() int { return int(t.Settings.Fleet.Resources.RAMMB * 80) }
+
+// Submit accepts a job, durably, before it answers.
+func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) transport.Response {
+	t.mu.Lock()
+	if !t.leads() {
+		t.mu.Unlock()
+		return unavailable("no leader")
+	}
+	if f, ok := t.finals.get(spec.ID); ok {
+		t.mu.Unlock()
+		return finalAnswer(spec.ID, f)
+	}
+	j := t.ledger.Jobs[spec.ID]
+	if j == nil {
+		if status, why := t.judge(spec); status != 0 {
+			t.mu.Unlock()
+			if status != http.StatusServiceUnavailable {
+				// An id that is known already is known, whatever else the
+				// request now says.
+				f, ok, err := t.final(ctx, spec.ID)
+				if err != nil {
+					return unavailable("state service is out of reach")
+				}
+				if ok {
+					return finalAnswer(spec.ID, f)
+				}
+			}
+			return Refuse(status, why)
+		}
+		j = t.ledger.NewJob(*spec, t.Clock.Wall(), t.Clock.Steady())
+		t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "priority", spec.Priority, "tasks", spec.Tasks)
+		kick(t.kickSave)
+	} else if j.Accepted() {
+		defer t.mu.Unlock()
+		return jobAnswer(http.StatusOK, j)
+	}
+	saved := j.Saved()
+	t.mu.Unlock()
+	if !waitFor(ctx, saved) {
+		return unavailable("state service is slow")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.leads() {
+		return unavailable("no leader")
+	}
+	if f, ok := t.finals.get(spec.ID); ok {
+		return finalAnswer(spec.ID, f)
+	}
+	return jobAnswer(http.StatusCreated, j)
+}
+
+func waitFor(ctx context.Context, saved <-chan struct{}) bool {
+	timer := time.NewTimer(acceptWait.Duration())
+	defer timer.Stop()
+	select {
+	case <-saved:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// judge tells why a new job cannot be taken; status 0 if it can.
+func (t *Term) judge(spec *protocol.JobSpec) (int, string) {
+	team := t.ledger.Teams[spec.Team]
+	if team == nil {
+		return http.StatusUnprocessableEntity, "crew: unknown team"
+	}
+	if team.Limit.Fits(spec.Need) == 0 {
+		return http.StatusUnprocessableEntity, "a task needs more than the team's limit"
+	}
+	if len(t.ledger.Types) == 0 {
+		return http.StatusServiceUnavailable, "the machine types are not known yet"
+	}
+	fits := false
+	for name, typ := range t.ledger.Types {
+		for _, zone := range typ.Zones {
+			fits = fits || allowed(spec, name, zone, false) && bookkeeping.SizeOf(typ).Fits(spec.Need) > 0
+		}
+	}
+	switch {
+	case !fits:
+		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+	case !bookkeeping.RecordFits(*spec, int(t.Settings.Fleet.State.ValueKB*1024)):
+		return http.StatusUnprocessableEntity, "the job's texts are too long to be kept"
+	case len(t.ledger.Jobs) >= t.maxJobs():
+		return http.StatusTooManyRequests, "too many unfinished jobs"
+	}
+	return 0, ""
+}
+
+// Poll tells a job's state.
+func (t *Term) Poll(ctx context.Context, id string) transport.Response {
+	if r, ok := t.pollLive(id); ok {
+		return r
+	}
+	f, ok, err := t.final(ctx, id)
+	if err != nil {
+		return unavailable("state service is out of reach")
+	}
+	if ok {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if !t.leads() {
+			return unavailable("no leader")
+		}
+		return finalAnswer(id, f)
+	}
+	// It may have been submitted while the state service was asked.
+	if r, ok := t.pollLive(id); ok {
+		return r
+	}
+	return Refuse(http.StatusNotFound, "no such job")
+}
+
+func (t *Term) pollLive(id string) (transport.Response, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.leads() {
+		return unavailable("no leader"), true
+	}
+	if f, ok := t.finals.get(id); ok {
+		return finalAnswer(id, f), true
+	}
+	j := t.ledger.Jobs[id]
+	switch {
+	case j == nil:
+		return transport.Response{}, false
+	case !j.Accepted():
+		return unavailable("the job is being accepted"), true
+	}
+	return jobAnswer(http.StatusOK, j), true
+}
+
+// Cancel cancels a job, durably, before it answers.
+func (t *Term) Cancel(ctx context.Context, id string) transport.Response {
+	t.mu.Lock()
+	if !t.leads() {
+		t.mu.Unlock()
+		return unavailable("no leader")
+	}
+	j := t.ledger.Jobs[id]
+	if j == nil {
+		t.mu.Unlock()
+		return t.Poll(ctx, id) // over, or never accepted
+	}
+	if !j.Accepted() {
+		t.mu.Unlock()
+		return unavailable("the job is being accepted")
+	}
+	if j.CancelStored {
+		defer t.mu.Unlock()
+		return jobAnswer(http.StatusOK, j)
+	}
+	if !j.Complete() && !j.Cancelled {
+		j.Cancelled = true
+		t.Log.Info("job cancelled", "job", id, "live", len(j.Live))
+		j.Changed(t.Clock.Steady(), true)
+		kick(t.kickSave)
+	}
+	saved := j.Saved()
+	t.mu.Unlock()
+	if !waitFor(ctx, saved) {
+		return unavailable("state service is slow")
+	}
+	t.mu.Lock()
+	over := j.CancelStored
+	if _, final := t.finals.get(id); final {
+		over = true
+	}
+	t.mu.Unlock()
+	if !over {
+		return unavailable("the cancellation is not stored yet")
+	}
+	return t.Poll(ctx, id)
+}
+
+// PollStored answers a poll from the records alone, for a node that does not
+// lead and cannot reach the leader. What they say was committed before anybody
+// was told of it, so a fresh read is never older than an earlier answer.
+func PollStored(ctx context.Context, store *bookkeeping.Store, id string) transport.Response {
+	if !store.Spare() {
+		return unavailable("no leader")
+	}
+	// The live record first: a job moves from there to the final ones, so it
+	// is found in one of the two.
+	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), 800*units.Millisecond)
+	if err != nil {
+		return unavailable("state service is out of reach")
+	}
+	if ok {
+		jobs, err := bookkeeping.ParseJobs([]protocol.Item{item})
+		if err != nil {
+			return unavailable("the job's record is not readable")
+		}
+		return jobAnswer(http.StatusOK, jobs[0])
+	}
+	f, ok, err := ReadFinal(ctx, store, id)
+	switch {
+	case errors.Is(err, bookkeeping.ErrRefused), errors.Is(err, bookkeeping.ErrUncertain):
+		return unavailable("state service is out of reach")
+	case err != nil:
+		return unavailable("the job's record is not readable")
+	case !ok:
+		return Refuse(http.StatusNotFound, "no such job")
+	}
+	return finalAnswer(id, f)
+}
--- /dev/null
+++ b/internal/protocol/mesh.go
@@ -0,0 +1,70 @@
+package protocol
+
+import (
+	"errors"
+	"fmt"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"dunestand/internal/protocol/wire"
+)
+
+// FrameKind says what a frame between controllers is for.
+type FrameKind = wire.Kind
+
+// The kinds of frames.
+const (
+	FramePing   = wire.KindPing
+	FrameSubmit = wire.KindSubmit
+	FramePoll   = wire.KindPoll
+	FrameCancel = wire.KindCancel
+	FrameAnswer = wire.KindAnswer
+)
+
+// Frame is a message between controllers: a user's request passed on to the
+// leader, or its answer.
+type Frame struct {
+	ID         uint64
+	Kind       FrameKind
+	Job        string
+	Body       []byte
+	Status     int
+	RetryAfter int
+}
+
+// EncodeFrame writes a frame.
+func EncodeFrame(f Frame) []byte {
+	b := flatbuffers.NewBuilder(128 + len(f.Body))
+	job := b.CreateString(f.Job)
+	body := b.CreateByteVector(f.Body)
+	wire.FrameStart(b)
+	wire.FrameAddId(b, f.ID)
+	wire.FrameAddKind(b, f.Kind)
+	wire.FrameAddUid(b, job)
+	wire.FrameAddBody(b, body)
+	wire.FrameAddStatus(b, uint16(f.Status))
+	wire.FrameAddRetryAfter(b, uint16(f.RetryAfter))
+	b.Finish(wire.FrameEnd(b))
+	return b.FinishedBytes()
+}
+
+// DecodeFrame reads a frame. The generated code trusts its input, so a frame
+// that points outside itself makes it panic; here that is an error like any
+// other.
+func DecodeFrame(data []byte) (f Frame, err error) {
+	if len(data) < 8 {
+		return Frame{}, errors.New("frame too short")
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			f, err = Frame{}, fmt.Errorf("malformed frame: %v", r)
+		}
+	}()
+	w := wire.GetRootAsFrame(data, 0)
+	f = Frame{ID: w.Id(), Kind: w.Kind(), Job: string(w.Uid()), Body: append([]byte(nil), w.BodyBytes()...),
+		Status: int(w.Status()), RetryAfter: int(w.RetryAfter())}
+	if _, ok := wire.EnumNamesKind[f.Kind]; !ok {
+		return Frame{}, errors.New("frame of an unknown kind")
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/protocol/state.go
@@ -0,0 +1,45 @@
+package protocol
+
+// Paths of the state service.
+const (
+	PathKeys   = "/keys"
+	PathCommit = "/commit"
+)
+
+// Item is a key of the state service with its value and version.
+type Item struct {
+	Key     string `cbor:"path"`
+	Value   Raw    `cbor:"value"`
+	Version uint64 `cbor:"stamp"`
+}
+
+// ItemList is a page of keys.
+type ItemList struct {
+	Items []Item `cbor:"rows"`
+	More  bool   `cbor:"more"`
+}
+
+// Condition holds when a key has a version; 0: the key does not exist.
+type Condition struct {
+	Key     string `cbor:"path"`
+	Version uint64 `cbor:"stamp"`
+}
+
+// Change is a put (Set and Value) or a deletion (Delete).
+type Change struct {
+	Set    string `cbor:"set,omitempty"`
+	Value  Raw    `cbor:"value,omitempty"`
+	Delete string `cbor:"delete,omitempty"`
+}
+
+// Txn is carried out whole if all its conditions hold, or not at all.
+type Txn struct {
+	If   []Condition `cbor:"if"`
+	Then []Change    `cbor:"then"`
+}
+
+// TxnAnswer is the answer to a Txn.
+type TxnAnswer struct {
+	Revision uint64   `cbor:"epoch"`
+	Failed   []string `cbor:"failed"`
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,93 @@
+// Package node is the whole dunestand daemon, for programs that embed it.
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"dunestand/internal/config"
+	"dunestand/internal/coordination"
+	"dunestand/internal/units"
+)
+
+// Deps is what a node gets from the program around it. What is left out is
+// the machine's own.
+type Deps struct {
+	Clock  units.Clock
+	Random *rand.Rand
+	Log    *slog.Logger
+	Policy *config.Policy
+	Listen func(ctx context.Context, addr string) (net.Listener, error)
+}
+
+// Node is one controller.
+type Node struct {
+	settings *config.Settings
+	deps     Deps
+}
+
+// New makes a node from checked settings.
+func New(settings *config.Settings, deps Deps) *Node {
+	if deps.Clock == nil {
+		deps.Clock = units.NewSystemClock()
+	}
+	if deps.Random == nil {
+		deps.Random = seeded()
+	}
+	if deps.Log == nil {
+		deps.Log = slog.New(slog.DiscardHandler)
+	}
+	if deps.Policy == nil {
+		deps.Policy = config.DefaultPolicy()
+	}
+	if deps.Listen == nil {
+		deps.Listen = listen
+	}
+	return &Node{settings: settings, deps: deps}
+}
+
+func seeded() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:]) // never fails
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// listen keeps trying for a while: the port of a process that has just ended
+// may not be free yet.
+func listen(ctx context.Context, addr string) (net.Listener, error) {
+	var lc net.ListenConfig
+	for try := 0; ; try++ {
+		l, err := lc.Listen(ctx, "tcp", addr)
+		if err == nil || try == 20 {
+			return l, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+}
+
+// Run serves until ctx ends, or a listener fails for good.
+func (n *Node) Run(ctx context.Context) error {
+	s, d := n.settings, n.deps
+	clients, err := d.Listen(ctx, s.ClientListen)
+	if err != nil {
+		return fmt.Errorf("client_listen: %w", err)
+	}
+	defer clients.Close()
+	mesh, err := d.Listen(ctx, s.MeshListen)
+	if err != nil {
+		return fmt.Errorf("mesh_addr: %w", err)
+	}
+	defer mesh.Close()
+	d.Log.Info("node starts", "node", s.Node, "zone", s.Zone, "clients", s.ClientListen, "mesh", s.MeshListen)
+	return coordination.NewController(s, d.Policy, d.Clock, d.Random, d.Log).Run(ctx, clients, mesh)
+}
