--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -70,14 +70,18 @@
 	s     *Snapshot
 	out   Wanted
 	batch int
-	taken map[int]bool // victims chosen
+	taken map[int]bool      // victims chosen
+	leave []units.Resources // what each team has left once its victims are gone
 }
 
 // Plan decides what to start and what to stop. Jobs go by priority; within
 // the urgent priorities and within the others, jobs inside their team's
 // guarantee go first; then by rank.
 func Plan(s *Snapshot) Wanted {
-	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}}
+	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams))}
+	for i := range s.Teams {
+		p.leave[i] = s.Teams[i].Used
+	}
 	order := make([]int, len(s.Jobs))
 	for i := range order {
 		order[i] = i
@@ -200,6 +204,7 @@
 	m.Free = m.Free.Plus(j.Spec.Need, -n)
 	t := &p.s.Teams[j.Team]
 	t.Used = t.Used.Plus(j.Spec.Need, n)
+	p.leave[j.Team] = p.leave[j.Team].Plus(j.Spec.Need, n)
 	j.LiveIn[m.Zone] += n
 	j.Pending -= n
 	p.batch -= n
@@ -271,8 +276,9 @@
 				p.taken[c.Ref] = true
 				p.out.Stops = append(p.out.Stops, c.Ref)
 				m.Freeing = m.Freeing.Plus(c.Need, 1)
-				t := &p.s.Teams[c.Team]
-				t.Used = t.Used.Plus(c.Need, -1)
+				// A victim counts against its team's limit until it is gone;
+				// only its team's excess shrinks at once.
+				p.leave[c.Team] = p.leave[c.Team].Plus(c.Need, -1)
 			}
 			chosen = nil
 			made = n
@@ -294,7 +300,6 @@
 	if !j.Guaranteed || v.Team == j.Team || v.Priority > j.Spec.Priority && v.Priority >= protocol.High {
 		return false
 	}
-	t := &p.s.Teams[v.Team]
-	rest := t.Used.Plus(v.Need, -1)
-	return rest.CPU >= t.Guarantee.CPU && rest.GPU >= t.Guarantee.GPU && t.Used.CPU > t.Guarantee.CPU
+	g, rest := p.s.Teams[v.Team].Guarantee, p.leave[v.Team].Plus(v.Need, -1)
+	return rest.CPU >= g.CPU && rest.GPU >= g.GPU
 }
