--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -331,7 +331,10 @@
 		jitter := units.Micros(f.random.Int64N(int64(100 * units.Millisecond)))
 		return max(20*units.Millisecond, min(f.timing.Poll, left)) + jitter
 	}
-	if !f.Connected() && now-since < 3*f.timing.Length {
+	// No other node can do better with a record that is this node's own, or
+	// that nobody has written yet.
+	fresh := version == 0 || rec.Holder == f.node
+	if !fresh && !f.Connected() && now-since < 3*f.timing.Length {
 		return f.timing.Poll
 	}
 	return f.claim(ctx, rec, version)
