--- /dev/null
+++ b/internal/coordination/plan_test.go
@@ -0,0 +1,179 @@
+package coordination
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+func cpus(n int) units.Resources {
+	return units.Resources{CPU: units.Amount(n) * 1_000_000, Memory: units.Amount(n) * 1_000_000}
+}
+
+func drawSnapshot(t *rapid.T) Snapshot {
+	s := Snapshot{Batch: rapid.IntRange(1, 60).Draw(t, "batch")}
+	teams := rapid.IntRange(1, 3).Draw(t, "teams")
+	for range teams {
+		g := rapid.IntRange(0, 20).Draw(t, "guarantee")
+		s.Teams = append(s.Teams, TeamView{Guarantee: cpus(g), Limit: cpus(g + rapid.IntRange(0, 30).Draw(t, "beyond"))})
+	}
+	ref := 0
+	for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
+		m := MachineView{Type: rapid.SampledFrom([]string{"small", "big"}).Draw(t, "type"),
+			Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot"),
+			Accepts: rapid.Bool().Draw(t, "accepts"), Slow: i == 3, Free: cpus(rapid.IntRange(0, 16).Draw(t, "free")),
+			Freeing: cpus(rapid.IntRange(0, 4).Draw(t, "freeing"))}
+		image := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image")
+		m.Images = func(name string) bool { return name == image }
+		for range rapid.IntRange(0, 4).Draw(t, "victims") {
+			v := Victim{Ref: ref, Team: rapid.IntRange(0, teams-1).Draw(t, "victim team"),
+				Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "victim priority")),
+				Need:     cpus(rapid.IntRange(1, 4).Draw(t, "victim need")), CanSave: rapid.Bool().Draw(t, "can save")}
+			ref++
+			s.Teams[v.Team].Used = s.Teams[v.Team].Used.Plus(v.Need, 1)
+			m.Victims = append(m.Victims, v)
+		}
+		s.Machines = append(s.Machines, m)
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, "jobs") {
+		n := rapid.IntRange(1, 12).Draw(t, "tasks")
+		spec := &protocol.JobSpec{ID: fmt.Sprintf("j-%06d", i), Tasks: n, Need: cpus(rapid.IntRange(1, 5).Draw(t, "need")),
+			Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority")), Spot: rapid.Bool().Draw(t, "may spot"),
+			Image: "x", OneZone: rapid.Bool().Draw(t, "one zone"), Spread: rapid.Bool().Draw(t, "spread"),
+			Types: rapid.SampledFrom([][]string{nil, {"small"}}).Draw(t, "types"), Zone: rapid.SampledFrom([]string{"", "a"}).Draw(t, "in zone")}
+		s.Jobs = append(s.Jobs, JobView{Spec: spec, Team: rapid.IntRange(0, teams-1).Draw(t, "team"),
+			Guaranteed: rapid.Bool().Draw(t, "guaranteed"), Rank: float64(rapid.IntRange(0, 3).Draw(t, "rank")),
+			Pending: n, LiveIn: map[string]int{}, Avoid: func(int) bool { return false }})
+	}
+	return s
+}
+
+// clone copies what Plan changes.
+func clone(s Snapshot) Snapshot {
+	s.Teams = append([]TeamView(nil), s.Teams...)
+	s.Machines = append([]MachineView(nil), s.Machines...)
+	s.Jobs = append([]JobView(nil), s.Jobs...)
+	for i := range s.Jobs {
+		live := map[string]int{}
+		for z, n := range s.Jobs[i].LiveIn {
+			live[z] = n
+		}
+		s.Jobs[i].LiveIn = live
+	}
+	return s
+}
+
+// A plan keeps the rules whatever it is given: no team over its limit with
+// the victims still counted (they run until they are gone; this was broken
+// once), no machine beyond its free room, no task where its job does not
+// allow it, nobody stopped without the right.
+func TestPlanKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		before := clone(s)
+		w := Plan(&s)
+		used := make([]units.Resources, len(before.Teams))
+		free := make([]units.Resources, len(before.Machines))
+		for i := range used {
+			used[i] = before.Teams[i].Used
+		}
+		for i := range free {
+			free[i] = before.Machines[i].Free
+		}
+		zones := make([]map[string]int, len(before.Jobs))
+		started, total := map[int]int{}, 0
+		for _, x := range w.Starts {
+			j, m := before.Jobs[x.Job], before.Machines[x.Machine]
+			if x.Count <= 0 || !m.Accepts || !allowed(j.Spec, m.Type, m.Zone, m.Spot) {
+				t.Fatalf("start %+v is not allowed", x)
+			}
+			used[j.Team] = used[j.Team].Plus(j.Spec.Need, x.Count)
+			free[x.Machine] = free[x.Machine].Plus(j.Spec.Need, -x.Count)
+			if zones[x.Job] == nil {
+				zones[x.Job] = map[string]int{}
+			}
+			zones[x.Job][m.Zone] += x.Count
+			started[x.Job] += x.Count
+			total += x.Count
+		}
+		for i, u := range used {
+			// What a team used before is not the plan's doing.
+			if u != before.Teams[i].Used && before.Teams[i].Limit.Plus(u, -1).Fits(cpus(0)) == 0 {
+				t.Fatalf("team %d uses %v of %v", i, u, before.Teams[i].Limit)
+			}
+		}
+		for i, f := range free {
+			if f.CPU < 0 || f.Memory < 0 {
+				t.Fatalf("machine %d has %v left", i, f)
+			}
+		}
+		for i, z := range zones {
+			spec := before.Jobs[i].Spec
+			if spec.OneZone && len(z) > 1 {
+				t.Fatalf("job %d is in zones %v", i, z)
+			}
+			for zone, n := range z {
+				if spec.Spread && n > (spec.Tasks+1)/2 {
+					t.Fatalf("job %d has %d of %d tasks in %s", i, n, spec.Tasks, zone)
+				}
+			}
+			if started[i] > before.Jobs[i].Pending {
+				t.Fatalf("job %d: %d started of %d", i, started[i], before.Jobs[i].Pending)
+			}
+		}
+		if total > before.Batch {
+			t.Fatalf("%d starts in a batch of %d", total, before.Batch)
+		}
+		checkStops(t, before, w)
+	})
+}
+
+func checkStops(t *rapid.T, s Snapshot, w Wanted) {
+	top, guaranteed := protocol.Low, false
+	for _, j := range s.Jobs {
+		top, guaranteed = max(top, j.Spec.Priority), guaranteed || j.Guaranteed
+	}
+	stopped := map[int]bool{}
+	for _, ref := range w.Stops {
+		if stopped[ref] {
+			t.Fatalf("victim %d stopped twice", ref)
+		}
+		stopped[ref] = true
+		for _, m := range s.Machines {
+			for _, v := range m.Victims {
+				if v.Ref == ref && v.Priority >= top && !guaranteed {
+					t.Fatalf("victim %+v stopped though no job outranks it", v)
+				}
+			}
+		}
+	}
+}
+
+// The same snapshot gives the same plan: nothing depends on the order of maps.
+func TestPlanIsDeterministic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		a, b := clone(s), clone(s)
+		if x, y := Plan(&a), Plan(&b); !reflect.DeepEqual(x, y) {
+			t.Fatalf("%+v and then %+v", x, y)
+		}
+	})
+}
+
+func TestPlanPrefersTheMachineWithTheImage(t *testing.T) {
+	holds := func(yes bool) func(string) bool { return func(string) bool { return yes } }
+	s := Snapshot{Batch: 10, Teams: []TeamView{{Limit: cpus(100)}},
+		Machines: []MachineView{{Accepts: true, Free: cpus(16), Images: holds(false)}, {Accepts: true, Free: cpus(2), Images: holds(true)}},
+		Jobs: []JobView{{Spec: &protocol.JobSpec{ID: "j-1", Tasks: 3, Need: cpus(1)}, Pending: 3, LiveIn: map[string]int{},
+			Avoid: func(int) bool { return false }}}}
+	got := Plan(&s).Starts
+	want := []Starts{{Job: 0, Machine: 1, Count: 2}, {Job: 0, Machine: 0, Count: 1}}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -7,15 +7,17 @@
 
 	"dunestand/internal/bookkeeping"
 	"dunestand/internal/config"
+	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
 
 const (
-	roundPause  = 25 * units.Millisecond // the least time between rounds
-	roundTick   = 250 * units.Millisecond
-	roundsShare = 8  // a round's cost, this many times over, until the next
-	batchBase   = 48 // starts in a round while little waits
-	batchMost   = 512
+	roundPause   = 25 * units.Millisecond // the least time between rounds
+	summaryEvery = 10 * units.Second
+	roundTick    = 250 * units.Millisecond
+	roundsShare  = 8  // a round's cost, this many times over, until the next
+	batchBase    = 48 // starts in a round while little waits
+	batchMost    = 512
 )
 
 // roundLoop makes rounds of decisions when something has changed.
@@ -31,6 +33,10 @@
 		now := t.Clock.Steady()
 		if t.Lease.Valid(t.number) {
 			t.expire(now)
+			if now-t.lastSummary >= summaryEvery {
+				t.lastSummary = now
+				t.summary(now)
+			}
 			if t.roundDue(now) {
 				t.round(now)
 			} else {
@@ -41,6 +47,32 @@
 	}
 }
 
+// summary logs how full the fleet is and what waits.
+func (t *Term) summary(now units.Micros) {
+	var size, used units.Resources
+	reporting := 0
+	for _, m := range t.ledger.Machines {
+		if m.Seen && now-m.LastAnswered < t.silentAfter() {
+			reporting++
+			size, used = size.Plus(m.Size, 1), used.Plus(m.Used, 1)
+		}
+	}
+	var pending [protocol.Priorities]int
+	for _, j := range t.ledger.Jobs {
+		pending[j.Spec.Priority] += j.Pending()
+	}
+	full := 0
+	for _, team := range t.ledger.Teams {
+		if team.Used.CPU > team.Limit.CPU*9/10 {
+			full++
+		}
+	}
+	t.Log.Info("fleet", "machines", reporting, "cpus", size.CPU.Float(), "cpus_used", used.CPU.Float(),
+		"pending_low", pending[protocol.Low], "pending_normal", pending[protocol.Normal],
+		"pending_high", pending[protocol.High], "pending_prod", pending[protocol.Production],
+		"jobs", len(t.ledger.Jobs), "teams_near_limit", full, "round_cost_us", int64(t.roundCost))
+}
+
 // roundDue spaces rounds by what they cost, so that under load they come less
 // often and decide more each.
 func (t *Term) roundDue(now units.Micros) bool {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -32,21 +32,22 @@
 	number    uint64
 	claimedAt units.Micros
 
-	mu        sync.Mutex
-	ready     bool
-	ledger    *bookkeeping.Ledger
-	heads     []uint64
-	early     map[string]earlyReport // reports that came in before the restore was done
-	finals    *finalCache
-	attempts  uint64
-	saves     uint64
-	hires     uint64
-	lastRound units.Micros
-	roundCost units.Micros // moving mean
-	tombs     map[string]units.Micros
-	saving    int
-	rent      renting
-	cloudBad  bool
+	mu          sync.Mutex
+	ready       bool
+	ledger      *bookkeeping.Ledger
+	heads       []uint64
+	early       map[string]earlyReport // reports that came in before the restore was done
+	finals      *finalCache
+	attempts    uint64
+	saves       uint64
+	hires       uint64
+	lastRound   units.Micros
+	roundCost   units.Micros // moving mean
+	lastSummary units.Micros
+	tombs       map[string]units.Micros
+	saving      int
+	rent        renting
+	cloudBad    bool
 
 	kickSave  chan struct{}
 	kickRound chan struct{}
