--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -27,6 +27,7 @@
 	Type, Zone string
 	Spot       bool
 	Accepts    bool // may be given work
+	Answering  bool // its report is being answered: a start reaches it now
 	Slow       bool
 	Free       units.Resources
 	Freeing    units.Resources // held by tasks that were told to stop
@@ -170,7 +171,7 @@
 		if n <= 0 {
 			return
 		}
-		best, bestKey := -1, [3]int64{}
+		best, bestKey := -1, [4]int64{}
 		for k := range p.s.Machines {
 			m := &p.s.Machines[k]
 			if !p.usable(k, j) || m.Free.Fits(j.Spec.Need) == 0 {
@@ -179,13 +180,16 @@
 			if m.Slow && j.Spec.Priority >= protocol.High {
 				continue
 			}
-			key := [3]int64{0, 0, int64(m.Free.CPU)}
+			key := [4]int64{0, 0, 0, int64(m.Free.CPU)}
 			if !m.Slow {
 				key[0] = 1
 			}
 			if m.Images(j.Spec.Image) {
 				key[1] = 1
 			}
+			if m.Answering {
+				key[2] = 1
+			}
 			if best < 0 || slices.Compare(key[:], bestKey[:]) > 0 {
 				best, bestKey = k, key
 			}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -37,7 +37,7 @@
 		return answer, false
 	}
 	if t.roundDue(now) {
-		t.round(now)
+		t.round(now, m)
 	}
 	if wait := t.undurable(m); wait != nil {
 		kick(t.kickSave)
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -38,7 +38,7 @@
 				t.summary(now)
 			}
 			if t.roundDue(now) {
-				t.round(now)
+				t.round(now, nil)
 			} else {
 				kick(t.kickRound)
 			}
@@ -110,9 +110,9 @@
 }
 
 // round plans on a snapshot and takes the outcome over into the ledger.
-func (t *Term) round(now units.Micros) {
+func (t *Term) round(now units.Micros, answering *bookkeeping.Machine) {
 	began := t.Clock.Steady()
-	s, refs := t.snapshot(now)
+	s, refs := t.snapshot(now, answering)
 	wanted := Plan(&s)
 	for _, w := range wanted.Starts {
 		j, m := refs.jobs[w.Job], refs.machines[w.Machine]
@@ -150,7 +150,7 @@
 	return t.Settings.Fleet.Workers.Report().Share(5, 2) + 1500*units.Millisecond
 }
 
-func (t *Term) snapshot(now units.Micros) (Snapshot, snapshotRefs) {
+func (t *Term) snapshot(now units.Micros, answering *bookkeeping.Machine) (Snapshot, snapshotRefs) {
 	var s Snapshot
 	var refs snapshotRefs
 	teams := map[string]int{}
@@ -165,7 +165,7 @@
 			continue
 		}
 		t.drain(m, now)
-		view := MachineView{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Free: m.Free(), Images: m.HasImage}
+		view := MachineView{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Free: m.Free(), Images: m.HasImage, Answering: m == answering}
 		view.Accepts = m.Settled && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
 			now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
 		for _, a := range m.Sorted() {
