--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -60,10 +60,13 @@
 // Starts is a number of a job's tasks to be started on a machine.
 type Starts struct{ Job, Machine, Count int }
 
+// Preemption stops a victim (Victim.Ref) to make room for a job.
+type Preemption struct{ Victim, For int }
+
 // Wanted is the outcome of a round.
 type Wanted struct {
 	Starts []Starts
-	Stops  []int // Victim.Ref
+	Stops  []Preemption
 }
 
 // planner is a round in the making. It changes its copies of the views.
@@ -242,7 +245,7 @@
 		if !p.usable(k, j) || m.Slow {
 			continue
 		}
-		want -= p.preemptOn(m, j, want)
+		want -= p.preemptOn(m, i, j, want)
 	}
 }
 
@@ -253,7 +256,7 @@
 	m.Free = total.Plus(m.Freeing, -1)
 }
 
-func (p *planner) preemptOn(m *MachineView, j *JobView, want int) int {
+func (p *planner) preemptOn(m *MachineView, i int, j *JobView, want int) int {
 	victims := make([]Victim, 0, len(m.Victims))
 	for _, v := range m.Victims {
 		if !p.taken[v.Ref] && p.mayStop(j, v) {
@@ -278,7 +281,7 @@
 		if n := min(room.Fits(j.Spec.Need), want); n > made {
 			for _, c := range chosen {
 				p.taken[c.Ref] = true
-				p.out.Stops = append(p.out.Stops, c.Ref)
+				p.out.Stops = append(p.out.Stops, Preemption{Victim: c.Ref, For: i})
 				m.Freeing = m.Freeing.Plus(c.Need, 1)
 				// A victim counts against its team's limit until it is gone;
 				// only its team's excess shrinks at once.
@@ -298,7 +301,7 @@
 // lower priority, or one that its team runs beyond its guarantee while the
 // job is within its own.
 func (p *planner) mayStop(j *JobView, v Victim) bool {
-	if v.Priority < j.Spec.Priority && (v.CanSave || j.Spec.Priority >= protocol.High) {
+	if v.Priority < j.Spec.Priority && j.Spec.Priority >= protocol.High {
 		return true
 	}
 	if !j.Guaranteed || v.Team == j.Team || v.Priority > j.Spec.Priority && v.Priority >= protocol.High {
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -139,7 +139,8 @@
 		top, guaranteed = max(top, j.Spec.Priority), guaranteed || j.Guaranteed
 	}
 	stopped := map[int]bool{}
-	for _, ref := range w.Stops {
+	for _, stop := range w.Stops {
+		ref := stop.Victim
 		if stopped[ref] {
 			t.Fatalf("victim %d stopped twice", ref)
 		}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -61,13 +61,21 @@
 	for _, j := range t.ledger.Jobs {
 		pending[j.Spec.Priority] += j.Pending()
 	}
+	var running units.Resources
+	for _, m := range t.ledger.Machines {
+		for _, a := range m.Attempts {
+			if a.Stage == bookkeeping.Running {
+				running = running.Plus(a.Job.Spec.Need, 1)
+			}
+		}
+	}
 	full := 0
 	for _, team := range t.ledger.Teams {
 		if team.Used.CPU > team.Limit.CPU*9/10 {
 			full++
 		}
 	}
-	t.Log.Info("fleet", "machines", reporting, "cpus", size.CPU.Float(), "cpus_used", used.CPU.Float(),
+	t.Log.Info("fleet", "machines", reporting, "cpus", size.CPU.Float(), "cpus_used", used.CPU.Float(), "cpus_running", running.CPU.Float(),
 		"pending_low", pending[protocol.Low], "pending_normal", pending[protocol.Normal],
 		"pending_high", pending[protocol.High], "pending_prod", pending[protocol.Production],
 		"jobs", len(t.ledger.Jobs), "teams_near_limit", full, "round_cost_us", int64(t.roundCost))
@@ -129,10 +137,11 @@
 			kick(t.kickSave)
 		}
 	}
-	for _, ref := range wanted.Stops {
-		a := refs.victims[ref]
+	for _, p := range wanted.Stops {
+		a := refs.victims[p.Victim]
 		a.Stop, a.Grace = true, a.Job.Spec.Save+2*units.Second
-		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID)
+		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID,
+			"class", a.Job.Spec.Class, "for", refs.jobs[p.For].Spec.ID, "for_class", refs.jobs[p.For].Spec.Class)
 	}
 	t.lastRound = t.Clock.Steady()
 	t.roundCost = (7*t.roundCost + (t.lastRound - began)) / 8
