--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -32,7 +32,10 @@
 	WaitedS    float64 `expr:"waited_s"`
 	RunS       float64 `expr:"run_s"`
 	WorkS      float64 `expr:"work_s"`
+	FinishS    float64 `expr:"finish_s"`
 	DueS       float64 `expr:"due_s"`
+	Late       bool    `expr:"late"`
+	StartDueS  float64 `expr:"start_due_s"`
 }
 
 // FleetInput is what a policy's settings on the fleet are worked out from.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 
 	"dunestand/internal/units"
 )
@@ -223,14 +224,31 @@
 	return nil
 }
 
-// Due is when a job should be complete, from its submission: its own
-// deadline, or what the users' aims say of its class. 0: nothing is said.
-func (f *Fleet) Due(class string, deadline units.Micros) units.Micros {
-	if deadline > 0 {
-		return deadline
+// Dues lists when a job should be complete, from its submission, the earliest
+// first: its own deadline and the multiples of it that the users' aims name,
+// or what the aims say of its class. Empty: nothing is said.
+func (f *Fleet) Dues(class string, deadline units.Micros) []units.Micros {
+	var dues []units.Micros
+	for _, o := range f.Objectives {
+		switch {
+		case o.Class != class:
+		case o.Kind == "finished" && o.WithinS > 0:
+			dues = append(dues, units.Seconds(o.WithinS))
+		case o.Kind == "deadline" && deadline > 0 && o.Times > 0:
+			dues = append(dues, units.Micros(float64(deadline)*o.Times))
+		}
+	}
+	if len(dues) == 0 && deadline > 0 {
+		dues = append(dues, deadline)
 	}
+	slices.Sort(dues)
+	return dues
+}
+
+// StartDue is when a job's tasks should have started, 0 if nothing is said.
+func (f *Fleet) StartDue(class string) units.Micros {
 	for _, o := range f.Objectives {
-		if o.Kind == "finished" && o.Class == class && o.WithinS > 0 {
+		if o.Kind == "wait" && o.Class == class {
 			return units.Seconds(o.WithinS)
 		}
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -42,7 +42,7 @@
 	Priority protocol.Priority
 	Need     units.Resources
 	Loses    units.Micros // the work that is lost by stopping it
-	CanSave  bool
+	Job      *JobView     // what it would be planned as, once stopped
 }
 
 // JobView is a job that has pending tasks.
@@ -50,6 +50,7 @@
 	Spec       *protocol.JobSpec
 	Team       int
 	Guaranteed bool // within its team's guarantee
+	Late       bool // cannot be in time any more
 	Rank       float64
 	Order      int64 // settles ties: the earlier submission first
 	Pending    int
@@ -78,9 +79,10 @@
 	leave []units.Resources // what each team has left once its victims are gone
 }
 
-// Plan decides what to start and what to stop. Jobs go by priority; within
-// the urgent priorities and within the others, jobs inside their team's
-// guarantee go first; then by rank.
+// Plan decides what to start and what to stop. The urgent priorities go first.
+// Of the others, what can still be in time goes before what is late anyway,
+// whatever their priority; then jobs inside their team's guarantee, then by
+// priority, then by rank.
 func Plan(s *Snapshot) Wanted {
 	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams))}
 	for i := range s.Teams {
@@ -111,15 +113,16 @@
 		}
 		return 0
 	}
-	guaranteed := func(j *JobView) int {
-		if j.Guaranteed {
+	number := func(b bool) int {
+		if b {
 			return 1
 		}
 		return 0
 	}
 	return cmp.Or(
 		-cmp.Compare(urgent(a), urgent(b)),
-		-cmp.Compare(guaranteed(a), guaranteed(b)),
+		cmp.Compare(number(a.Late), number(b.Late)),
+		-cmp.Compare(number(a.Guaranteed), number(b.Guaranteed)),
 		-cmp.Compare(a.Spec.Priority, b.Spec.Priority),
 		cmp.Compare(a.Rank, b.Rank),
 		cmp.Compare(a.Order, b.Order),
@@ -299,8 +302,13 @@
 
 // mayStop tells whether a task may be stopped to make room for a job: one of
 // lower priority, or one that its team runs beyond its guarantee while the
-// job is within its own.
+// job is within its own. The victim waits again once it is stopped, so it must
+// come after the job in the order: else the next round would give it the room
+// again, and the two would go on taking turns.
 func (p *planner) mayStop(j *JobView, v Victim) bool {
+	if compareJobs(j, v.Job) >= 0 {
+		return false
+	}
 	if v.Priority < j.Spec.Priority && j.Spec.Priority >= protocol.High {
 		return true
 	}
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -33,7 +33,10 @@
 		for range rapid.IntRange(0, 4).Draw(t, "victims") {
 			v := Victim{Ref: ref, Team: rapid.IntRange(0, teams-1).Draw(t, "victim team"),
 				Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "victim priority")),
-				Need:     cpus(rapid.IntRange(1, 4).Draw(t, "victim need")), CanSave: rapid.Bool().Draw(t, "can save")}
+				Need:     cpus(rapid.IntRange(1, 4).Draw(t, "victim need"))}
+			v.Job = &JobView{Spec: &protocol.JobSpec{ID: fmt.Sprintf("j-9%05d", ref), Priority: v.Priority}, Team: v.Team,
+				Late: rapid.Bool().Draw(t, "victim late"), Guaranteed: rapid.Bool().Draw(t, "victim guaranteed"),
+				Rank: float64(rapid.IntRange(0, 3).Draw(t, "victim rank"))}
 			ref++
 			s.Teams[v.Team].Used = s.Teams[v.Team].Used.Plus(v.Need, 1)
 			m.Victims = append(m.Victims, v)
@@ -134,21 +137,26 @@
 }
 
 func checkStops(t *rapid.T, s Snapshot, w Wanted) {
-	top, guaranteed := protocol.Low, false
-	for _, j := range s.Jobs {
-		top, guaranteed = max(top, j.Spec.Priority), guaranteed || j.Guaranteed
-	}
 	stopped := map[int]bool{}
 	for _, stop := range w.Stops {
-		ref := stop.Victim
+		ref, j := stop.Victim, s.Jobs[stop.For]
 		if stopped[ref] {
 			t.Fatalf("victim %d stopped twice", ref)
 		}
 		stopped[ref] = true
 		for _, m := range s.Machines {
 			for _, v := range m.Victims {
-				if v.Ref == ref && v.Priority >= top && !guaranteed {
-					t.Fatalf("victim %+v stopped though no job outranks it", v)
+				if v.Ref != ref {
+					continue
+				}
+				if v.Priority >= j.Spec.Priority && !j.Guaranteed {
+					t.Fatalf("victim %+v stopped for %+v, which does not outrank it", v, j)
+				}
+				// A victim that comes first in the order would get the room
+				// back in the next round: the two took turns 28,000 times on
+				// one day.
+				if compareJobs(&j, v.Job) >= 0 {
+					t.Fatalf("victim %+v stopped for %+v, which comes after it", v, j)
 				}
 			}
 		}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -168,6 +168,37 @@
 		teams[name] = len(s.Teams)
 		s.Teams = append(s.Teams, TeamView{Guarantee: team.Guarantee, Limit: team.Limit, Used: t.ledger.UsedIn(team)})
 	}
+	waiting := 0
+	committed := make([]units.Resources, len(s.Teams))
+	views := make(map[string]*JobView, len(t.ledger.Jobs))
+	for _, j := range t.jobsInOrder() {
+		team, ok := teams[j.Spec.Team]
+		if !ok {
+			continue
+		}
+		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
+		g := s.Teams[team].Guarantee
+		in := t.rankInput(j)
+		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(),
+			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
+			Late:       in.Late, Rank: t.Policy.Rank(in), LiveIn: map[string]int{},
+			Avoid: func(k int) bool {
+				m := refs.machines[k]
+				return j.ErrorsOn[m.ID] && len(j.ErrorsOn) < 3 || !j.CanName(m.ID)
+			}}
+		views[j.Spec.ID] = view
+		if !j.Waiting() || now < j.RetryAt || len(j.Doubts) > 0 {
+			continue
+		}
+		if j.Spec.OneZone || j.Spec.Spread {
+			for _, a := range j.Live {
+				view.LiveIn[a.Machine.Zone]++
+			}
+		}
+		waiting += view.Pending
+		s.Jobs = append(s.Jobs, *view)
+		refs.jobs = append(refs.jobs, j)
+	}
 	for _, id := range sortedKeys(t.ledger.Machines) {
 		m := t.ledger.Machines[id]
 		if !m.Seen {
@@ -189,12 +220,12 @@
 			if !ok {
 				continue
 			}
-			v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need}
+			v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need, Job: views[a.Job.Spec.ID]}
 			if a.Stage == bookkeeping.Running {
 				v.Loses = now - a.RunningSince
 			}
-			if every := a.Job.Spec.Checkpoint; every > 0 {
-				v.Loses, v.CanSave = a.Job.Spec.Save, true
+			if a.Job.Spec.Checkpoint > 0 {
+				v.Loses = a.Job.Spec.Save
 			}
 			refs.victims = append(refs.victims, a)
 			view.Victims = append(view.Victims, v)
@@ -202,44 +233,11 @@
 		s.Machines = append(s.Machines, view)
 		refs.machines = append(refs.machines, m)
 	}
-	waiting := 0
-	committed := make([]units.Resources, len(s.Teams))
-	for _, j := range t.jobsInOrder() {
-		team, ok := teams[j.Spec.Team]
-		if !ok {
-			continue
-		}
-		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
-		if !j.Waiting() || now < j.RetryAt || len(j.Doubts) > 0 {
-			continue
-		}
-		g := s.Teams[team].Guarantee
-		view := JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(),
-			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
-			LiveIn:     map[string]int{},
-			Avoid: func(k int) bool {
-				m := refs.machines[k]
-				return j.ErrorsOn[m.ID] && len(j.ErrorsOn) < 3 || !j.CanName(m.ID)
-			}}
-		if j.Spec.OneZone || j.Spec.Spread {
-			for _, a := range j.Live {
-				view.LiveIn[a.Machine.Zone]++
-			}
-		}
-		view.Rank = t.rank(j, now)
-		waiting += view.Pending
-		s.Jobs = append(s.Jobs, view)
-		refs.jobs = append(refs.jobs, j)
-	}
 	s.Batch = min(batchBase+waiting/8, batchMost)
 	return s, refs
 }
 
-func (t *Term) rank(j *bookkeeping.Job, now units.Micros) float64 {
-	return t.Policy.Rank(t.rankInput(j, now))
-}
-
-func (t *Term) rankInput(j *bookkeeping.Job, now units.Micros) config.RankInput {
+func (t *Term) rankInput(j *bookkeeping.Job) config.RankInput {
 	waited := max(0, t.Clock.Wall()-j.Submitted)
 	estimate := t.ledger.Estimate(j)
 	in := config.RankInput{
@@ -247,10 +245,21 @@
 		Tasks: j.Spec.Tasks, Unfinished: j.Unfinished(), Pending: j.Pending(),
 		WaitedS: waited.Seconds(), RunS: estimate.Seconds(),
 		WorkS: estimate.Seconds() * float64(j.Unfinished()) * j.Spec.Need.CPU.Float(),
-		DueS:  config.NoDeadline,
+		DueS:  config.NoDeadline, StartDueS: config.NoDeadline,
 	}
-	if due := t.Settings.Fleet.Due(j.Spec.Class, j.Spec.Deadline); due > 0 {
+	in.FinishS = in.RunS
+	if team := t.ledger.Teams[j.Spec.Team]; team != nil && team.Limit.CPU > 0 {
+		in.FinishS = max(in.RunS, in.WorkS/team.Limit.CPU.Float())
+	}
+	for _, due := range t.Settings.Fleet.Dues(j.Spec.Class, j.Spec.Deadline) {
 		in.DueS = (due - waited).Seconds()
+		in.Late = in.DueS < in.FinishS
+		if !in.Late {
+			break
+		}
+	}
+	if due := t.Settings.Fleet.StartDue(j.Spec.Class); due > 0 {
+		in.StartDueS = (due - waited).Seconds()
 	}
 	return in
 }
