Let urgent jobs stop lesser tasks of their own team at its limit

Cause: seasonal jobs of a team at its limit waited for the team's own reindex tasks of 70 s and more, since preemption only looked for room on machines.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -20,6 +20,7 @@
 // TeamView is a team's limit and what may be running for it.
 type TeamView struct {
 	Guarantee, Limit, Used units.Resources
+	Freeing                units.Resources // part of Used, held by tasks that were told to stop
 }
 
 // MachineView is a machine.
@@ -221,11 +222,13 @@
 	p.out.Starts = append(p.out.Starts, Starts{Job: i, Machine: machine, Count: n})
 }
 
-// preempt chooses tasks to be stopped for what place found no room for. Room
-// that stopped tasks are about to leave is reckoned with first, so that no
-// round stops again for the same need.
+// preempt chooses tasks to be stopped for what place found no room for: first
+// of the job's own team, as far as the team's limit is what lacks, then on the
+// machines. Room that stopped tasks are about to leave is reckoned with first,
+// so that no round stops again for the same need.
 func (p *planner) preempt(i int, j *JobView) {
-	want := min(j.Pending, p.headroom(j))
+	want := p.preemptInTeam(i, j)
+	p.s.Teams[j.Team].Freeing = p.s.Teams[j.Team].Freeing.Plus(j.Spec.Need, -want)
 	for k := range p.s.Machines {
 		if want <= 0 {
 			return
@@ -252,6 +255,56 @@
 	}
 }
 
+// preemptInTeam stops tasks of the job's own team until its limit has room for
+// the job, and gives how many of the job's tasks it then has room for.
+func (p *planner) preemptInTeam(i int, j *JobView) int {
+	t := &p.s.Teams[j.Team]
+	room := func() int { return min(j.Pending, t.Limit.Plus(t.Used, -1).Plus(t.Freeing, 1).Fits(j.Spec.Need)) }
+	if room() == j.Pending || j.Spec.Priority < protocol.High {
+		return room()
+	}
+	type choice struct {
+		machine *MachineView
+		victim  Victim
+	}
+	var choices []choice
+	for k := range p.s.Machines {
+		m := &p.s.Machines[k]
+		if !p.usable(k, j) {
+			continue
+		}
+		for _, v := range m.Victims {
+			if v.Team == j.Team && !p.taken[v.Ref] && p.mayStop(j, v) {
+				choices = append(choices, choice{m, v})
+			}
+		}
+	}
+	slices.SortFunc(choices, func(a, b choice) int { return compareVictims(a.victim, b.victim) })
+	for _, c := range choices {
+		if room() >= j.Pending {
+			break
+		}
+		p.stop(c.machine, c.victim, i)
+	}
+	return room()
+}
+
+// compareVictims orders victims, the one to be stopped first first.
+func compareVictims(a, b Victim) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Loses, b.Loses), cmp.Compare(a.Ref, b.Ref))
+}
+
+// stop chooses a victim. It counts against its team's limit and on its machine
+// until it is gone.
+func (p *planner) stop(m *MachineView, v Victim, i int) {
+	p.taken[v.Ref] = true
+	p.out.Stops = append(p.out.Stops, Preemption{Victim: v.Ref, For: i})
+	m.Freeing = m.Freeing.Plus(v.Need, 1)
+	t := &p.s.Teams[v.Team]
+	t.Freeing = t.Freeing.Plus(v.Need, 1)
+	p.leave[v.Team] = p.leave[v.Team].Plus(v.Need, -1)
+}
+
 // reserve takes room that is free or about to be from the machine's views.
 func (p *planner) reserve(m *MachineView, need units.Resources, n int) {
 	total := m.Free.Plus(m.Freeing, 1).Plus(need, -n)
@@ -266,9 +319,7 @@
 			victims = append(victims, v)
 		}
 	}
-	slices.SortFunc(victims, func(a, b Victim) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Loses, b.Loses), cmp.Compare(a.Ref, b.Ref))
-	})
+	slices.SortFunc(victims, compareVictims)
 	made := 0
 	room := m.Free.Plus(m.Freeing, 1)
 	var chosen []Victim
@@ -283,12 +334,7 @@
 		chosen = append(chosen, v)
 		if n := min(room.Fits(j.Spec.Need), want); n > made {
 			for _, c := range chosen {
-				p.taken[c.Ref] = true
-				p.out.Stops = append(p.out.Stops, Preemption{Victim: c.Ref, For: i})
-				m.Freeing = m.Freeing.Plus(c.Need, 1)
-				// A victim counts against its team's limit until it is gone;
-				// only its team's excess shrinks at once.
-				p.leave[c.Team] = p.leave[c.Team].Plus(c.Need, -1)
+				p.stop(m, c, i)
 			}
 			chosen = nil
 			made = n
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -211,6 +211,9 @@
 		for _, a := range m.Sorted() {
 			if a.Stop {
 				view.Freeing = view.Freeing.Plus(a.Job.Spec.Need, 1)
+				if team, ok := teams[a.Job.Spec.Team]; ok {
+					s.Teams[team].Freeing = s.Teams[team].Freeing.Plus(a.Job.Spec.Need, 1)
+				}
 				continue
 			}
 			if a.Stage != bookkeeping.Running && a.Stage != bookkeeping.Fetching || !view.Accepts {
