--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -73,11 +73,12 @@
 
 // planner is a round in the making. It changes its copies of the views.
 type planner struct {
-	s     *Snapshot
-	out   Wanted
-	batch int
-	taken map[int]bool      // victims chosen
-	leave []units.Resources // what each team has left once its victims are gone
+	s      *Snapshot
+	out    Wanted
+	batch  int
+	taken  map[int]bool      // victims chosen
+	leave  []units.Resources // what each team has left once its victims are gone
+	closed []bool            // teams whose limit leaves no room for a job that goes first
 }
 
 // Plan decides what to start and what to stop. The urgent priorities go first.
@@ -85,7 +86,7 @@
 // whatever their priority; then jobs inside their team's guarantee, then by
 // priority, then by rank.
 func Plan(s *Snapshot) Wanted {
-	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams))}
+	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams)), closed: make([]bool, len(s.Teams))}
 	for i := range s.Teams {
 		p.leave[i] = s.Teams[i].Used
 	}
@@ -99,8 +100,14 @@
 			break
 		}
 		j := &s.Jobs[i]
+		if p.closed[j.Team] {
+			continue
+		}
 		p.place(i, j)
 		if j.Pending > 0 {
+			// Jobs of small tasks must not take what is left of the limit
+			// bit by bit, or a larger task would wait for ever.
+			p.closed[j.Team] = p.headroom(j) == 0
 			p.preempt(i, j)
 		}
 	}
