--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"sync"
 
 	"dunestand/internal/bookkeeping"
 	"dunestand/internal/config"
@@ -33,6 +34,8 @@
 const (
 	cloudTick    = 500 * units.Millisecond
 	catalogEvery = 60 * units.Second
+	rentPasses   = 8
+	rentsAtOnce  = 3
 	refusedFirst = 8 * units.Second
 	refusedMost  = 40 * units.Second
 	bootPatience = 3                 // boot times until a machine is not reckoned with
@@ -42,7 +45,7 @@
 
 // cloudLoop keeps the rented machines as wanted.
 func (t *Term) cloudLoop(ctx context.Context) {
-	for pause(ctx, cloudTick) {
+	for wait := units.Micros(0); pause(ctx, wait); wait = cloudTick {
 		if !t.Lease.Valid(t.number) {
 			continue
 		}
@@ -339,45 +342,75 @@
 	return out
 }
 
+// rentWanted rents what is wanted. What one kind refuses is asked of the next
+// at once: a boot takes long enough.
 func (t *Term) rentWanted(ctx context.Context) {
-	t.mu.Lock()
-	now := t.Clock.Steady()
-	orders := t.rent.open
-	if len(orders) == 0 {
-		orders = t.orders(now)
-		t.rent.open = orders
-	}
-	t.mu.Unlock()
-	for len(orders) > 0 {
-		r := orders[0]
-		names, err := t.Cloud.Rent(ctx, r)
-		if err != nil && !errors.Is(err, bookkeeping.ErrNoCapacity) {
-			t.Log.Debug("rent not answered", "request", r.Request, "error", err)
-			return // sent again under the same name
-		}
-		orders = orders[1:]
+	for range rentPasses {
 		t.mu.Lock()
-		t.rent.open = orders
-		now := t.Clock.Steady()
-		kind := Kind{r.Type, r.Zone, r.Spot}
-		if len(names) < r.Count {
-			was := t.rent.refused[kind]
-			wait := min(max(2*was.wait, refusedFirst), refusedMost)
-			t.rent.refused[kind] = refusal{now + wait, wait}
-		} else {
-			delete(t.rent.refused, kind)
+		if len(t.rent.open) == 0 {
+			t.rent.open = t.orders(t.Clock.Steady())
 		}
-		for _, id := range names {
-			if _, gone := t.tombs[id]; !gone {
-				m := t.ledger.Machine(id, r.Type, r.Zone, r.Spot, now)
-				if m.Stage == "" {
-					m.Stage = protocol.MachineBooting
-				}
+		orders := t.rent.open
+		t.mu.Unlock()
+		if len(orders) == 0 {
+			return
+		}
+		var wg sync.WaitGroup
+		slots := make(chan struct{}, rentsAtOnce)
+		unanswered := make([]bool, len(orders))
+		for i, r := range orders {
+			slots <- struct{}{}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				unanswered[i] = !t.rentOne(ctx, r)
+				<-slots
+			}()
+		}
+		wg.Wait()
+		var open []protocol.Rent // sent again under the same names
+		for i, r := range orders {
+			if unanswered[i] {
+				open = append(open, r)
 			}
 		}
-		t.Log.Info("machines rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", names)
+		t.mu.Lock()
+		t.rent.open = open
 		t.mu.Unlock()
+		if len(open) > 0 {
+			return
+		}
+	}
+}
+
+// rentOne sends one request and tells whether it was answered.
+func (t *Term) rentOne(ctx context.Context, r protocol.Rent) bool {
+	names, err := t.Cloud.Rent(ctx, r)
+	if err != nil && !errors.Is(err, bookkeeping.ErrNoCapacity) {
+		t.Log.Debug("rent not answered", "request", r.Request, "error", err)
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	kind := Kind{r.Type, r.Zone, r.Spot}
+	if len(names) < r.Count {
+		was := t.rent.refused[kind]
+		wait := min(max(2*was.wait, refusedFirst), refusedMost)
+		t.rent.refused[kind] = refusal{now + wait, wait}
+	} else {
+		delete(t.rent.refused, kind)
+	}
+	for _, id := range names {
+		if _, gone := t.tombs[id]; !gone {
+			m := t.ledger.Machine(id, r.Type, r.Zone, r.Spot, now)
+			if m.Stage == "" {
+				m.Stage = protocol.MachineBooting
+			}
+		}
 	}
+	t.Log.Info("machines rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", names)
+	return true
 }
 
 // orders turns what is wanted into requests with names never used before: the
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -98,7 +98,8 @@
 			return Refuse(status, why)
 		}
 		j = t.ledger.NewJob(*spec, t.Clock.Wall(), t.Clock.Steady())
-		t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "priority", spec.Priority, "tasks", spec.Tasks)
+		t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "priority", spec.Priority, "tasks", spec.Tasks,
+			"cpus", spec.Need.CPU.Float(), "estimate_ms", spec.Estimate/units.Millisecond, "deadline_ms", spec.Deadline/units.Millisecond)
 		kick(t.kickSave)
 	} else if j.Accepted() {
 		defer t.mu.Unlock()
