--- /dev/null
+++ b/internal/coordination/model_test.go
@@ -0,0 +1,418 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// This file plays random days against the leader's core: workers as the
+// protocol describes them, a state service, leaders that die at any point,
+// answers that are lost or late. After every step it checks on the workers
+// themselves, not on the leader's books, what must never happen.
+
+type manualClock struct{ now units.Micros }
+
+func (c *manualClock) Steady() units.Micros { return c.now }
+func (c *manualClock) Wall() units.Micros   { return c.now }
+
+const (
+	modelLease   = 10 * units.Second
+	workerWaits  = 4 * units.Second
+	modelLimit   = 9 // processors of the team
+	modelMachine = 4 // processors of a machine
+)
+
+func modelSettings() *config.Settings {
+	return &config.Settings{Node: "n", Fleet: config.Fleet{Zones: []string{"a"},
+		Teams:     []config.Team{{Name: "team", CPUs: 4, CPUsMax: modelLimit}},
+		Workers:   config.Workers{ReportS: 1, LeaseS: modelLease.Seconds(), CancelS: 30},
+		State:     config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 100}}}
+}
+
+var modelCatalog = protocol.Catalog{Types: []protocol.MachineType{
+	{Name: "m", CPUs: modelMachine, MemoryGB: 64, CacheGB: 10, Price: 1, SpotPrice: 1, BootS: 5, Zones: []string{"a"}}}}
+
+// testTerm makes a term whose lease holds until it is taken from it.
+func testTerm(number uint64, clock units.Clock) *Term {
+	settings := modelSettings()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	lease := NewFleetLease("n", nil, clock, TimingFor(modelLease), rand.New(rand.NewPCG(1, number)), log)
+	lease.holding, lease.term, lease.validUntil = true, number, 1<<60
+	return NewTerm(number, Deps{Settings: settings, Policy: config.DefaultPolicy(), Lease: lease, Clock: clock, Log: log, Metrics: NewMetrics()})
+}
+
+type modelStore struct {
+	items    map[string]protocol.Item
+	revision uint64
+}
+
+func (s *modelStore) commit(t *rapid.T, txn protocol.Txn) (uint64, bool) {
+	for _, c := range txn.If {
+		if s.items[c.Key].Version != c.Version {
+			return 0, false
+		}
+	}
+	if len(txn.Then) > 12 || len(txn.If) > 48 {
+		t.Fatalf("transaction of %d changes, %d conditions", len(txn.Then), len(txn.If))
+	}
+	s.revision++
+	for _, c := range txn.Then {
+		if c.Delete != "" {
+			delete(s.items, c.Delete)
+		} else {
+			s.items[c.Set] = protocol.Item{Key: c.Set, Value: c.Value, Version: s.revision}
+		}
+	}
+	return s.revision, true
+}
+
+type modelTask struct {
+	attempt uint64
+	stage   protocol.TaskStage
+	cause   protocol.Cause
+}
+
+type taskKey struct {
+	job   string
+	index int
+}
+
+type modelWorker struct {
+	id            string
+	alive         bool
+	session, seq  uint64
+	token         uint64
+	leaseFrom     units.Micros
+	tasks         map[taskKey]modelTask
+	awaited       bool // a report is in flight
+	sentAt        units.Micros
+	answer        *protocol.ReportAnswer // on its way
+	reportSession uint64
+}
+
+type model struct {
+	t         *rapid.T
+	clock     *manualClock
+	store     *modelStore
+	leader    *Term
+	terms     uint64
+	workers   []*modelWorker
+	save      *bookkeeping.Save // the leader's, on its way
+	orphans   []*bookkeeping.Save
+	held      []*protocol.Report // held back by the network; their workers have given up
+	jobs      map[string]int     // tasks of each job submitted
+	completed map[taskKey]bool
+	finals    map[string]protocol.Stage
+}
+
+func (m *model) begin() {
+	m.terms++
+	m.leader = testTerm(m.terms, m.clock)
+	// The claim changes every bucket's head, so older saves fail from now on.
+	for b := range bookkeeping.Buckets {
+		m.store.revision++
+		key := bookkeeping.KeyHead(b)
+		m.store.items[key] = protocol.Item{Key: key, Version: m.store.revision}
+		m.leader.heads[b] = m.store.revision
+	}
+	var rows []protocol.Item
+	for _, key := range slices.Sorted(maps.Keys(m.store.items)) {
+		if len(key) > 4 && key[:4] == bookkeeping.PrefixJobs {
+			rows = append(rows, m.store.items[key])
+		}
+	}
+	jobs, err := bookkeeping.ParseJobs(rows)
+	if err != nil {
+		m.t.Fatalf("restore: %v", err)
+	}
+	m.leader.install(jobs, modelCatalog)
+}
+
+func (m *model) submit() {
+	if len(m.jobs) >= 6 {
+		return
+	}
+	id := fmt.Sprintf("j-%06d", len(m.jobs))
+	n := rapid.IntRange(1, 6).Draw(m.t, "tasks")
+	m.jobs[id] = n
+	m.leader.ledger.NewJob(protocol.JobSpec{ID: id, Class: "c", Team: "team", Tasks: n, Need: cpus(rapid.IntRange(1, 3).Draw(m.t, "cpus")),
+		Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(m.t, "priority")), Spot: true, Image: "i",
+		Estimate: 10 * units.Second}, m.clock.now, m.clock.now)
+}
+
+func (m *model) report() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if !w.alive || w.awaited {
+		return
+	}
+	w.seq++
+	r := &protocol.Report{Machine: w.id, Type: "m", Zone: "a", Spot: true, Session: w.session, Seq: w.seq, Term: w.token}
+	keys := slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index })
+	for _, k := range keys {
+		task := w.tasks[k]
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Job: k.job, Index: k.index, Attempt: task.attempt, Stage: task.stage, Cause: task.cause})
+	}
+	w.awaited, w.sentAt, w.reportSession, w.answer = true, m.clock.now, w.session, nil
+	if rapid.IntRange(0, 4).Draw(m.t, "report held back") == 0 {
+		m.held = append(m.held, r)
+		return
+	}
+	w.answer = m.serve(r)
+}
+
+func (m *model) serve(r *protocol.Report) *protocol.ReportAnswer {
+	t, now := m.leader, m.clock.now
+	machine := t.observe(r, now)
+	if machine == nil {
+		return nil
+	}
+	t.expire(now)
+	t.round(now, machine)
+	return &protocol.ReportAnswer{Term: t.number, Commands: t.commands(machine, r, now)}
+}
+
+// late brings the leader a report that was held back. Nobody waits for the
+// answer any more.
+func (m *model) late() {
+	if len(m.held) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.held)-1).Draw(m.t, "held report")
+	r := m.held[i]
+	for _, w := range m.workers {
+		if w.id == r.Machine && w.awaited && w.seq == r.Seq && w.session == r.Session {
+			return // it still waits
+		}
+	}
+	m.held = slices.Delete(m.held, i, i+1)
+	m.serve(r)
+}
+
+// deliver brings a worker the answer it waits for, or lets it give up.
+func (m *model) deliver() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if !w.alive || !w.awaited {
+		return
+	}
+	lost := rapid.IntRange(0, 5).Draw(m.t, "answer lost") == 0
+	a := w.answer
+	w.awaited, w.answer = false, nil
+	if lost || a == nil || m.clock.now-w.sentAt > workerWaits || a.Term < w.token || w.reportSession != w.session {
+		return
+	}
+	w.token, w.leaseFrom = a.Term, w.sentAt
+	for _, c := range a.Commands {
+		m.execute(w, c)
+	}
+}
+
+func (m *model) execute(w *modelWorker, c protocol.Command) {
+	var k taskKey
+	if _, err := fmt.Sscanf(c.Task, "j-%06d/%d", new(int), &k.index); err != nil {
+		m.t.Fatalf("command names %q", c.Task)
+	}
+	k.job = c.Task[:8]
+	task, here := w.tasks[k]
+	switch c.Verb {
+	case protocol.Start:
+		if here && (task.attempt == c.Attempt || task.stage != protocol.TaskExited) {
+			return
+		}
+		for _, o := range m.workers {
+			if other, ok := o.tasks[k]; ok && o != w && o.alive && other.stage != protocol.TaskExited {
+				m.t.Fatalf("%s starts on %s while it is on %s", c.Task, w.id, o.id)
+			}
+		}
+		if m.finals[k.job] != "" {
+			m.t.Fatalf("%s starts though its job is over", c.Task)
+		}
+		w.tasks[k] = modelTask{attempt: c.Attempt, stage: protocol.TaskRunning}
+	case protocol.Stop:
+		if here && task.attempt == c.Attempt && task.stage != protocol.TaskExited {
+			w.tasks[k] = modelTask{c.Attempt, protocol.TaskExited, protocol.CauseStopped}
+		}
+	case protocol.Forget:
+		if here && task.attempt == c.Attempt && task.stage == protocol.TaskExited {
+			delete(w.tasks, k)
+		}
+	}
+}
+
+func (m *model) work() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	for _, k := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index }) {
+		task := w.tasks[k]
+		if task.stage != protocol.TaskRunning {
+			continue
+		}
+		task.stage = protocol.TaskExited
+		if task.cause = protocol.CauseError; rapid.IntRange(0, 7).Draw(m.t, "fails") > 0 {
+			task.cause = protocol.CauseDone
+			m.completed[k] = true
+		}
+		w.tasks[k] = task
+		return
+	}
+}
+
+func (m *model) pass() {
+	m.clock.now += units.Micros(rapid.IntRange(100, 6000).Draw(m.t, "ms")) * units.Millisecond
+	for _, w := range m.workers {
+		if w.alive && m.clock.now-w.leaseFrom > modelLease {
+			w.session++
+			w.leaseFrom = m.clock.now
+			clear(w.tasks)
+		}
+	}
+	m.leader.expire(m.clock.now)
+}
+
+// write sends the leader's next save, or settles the one on its way.
+func (m *model) write() {
+	l := m.leader.ledger
+	if m.save == nil {
+		m.save = l.BuildSave(m.leader.saveID(), m.leader.heads, bookkeeping.SaveLimits{Ops: 12, Lazy: units.Second, Tasks: true}, m.clock.now)
+		return
+	}
+	rev, ok := m.store.commit(m.t, m.save.Txn)
+	if !ok {
+		m.t.Fatalf("a leader's own save met a conflict: %v", m.save.Txn.If)
+	}
+	for id, f := range l.Applied(m.save, rev) {
+		m.over(id, f)
+	}
+	m.save = nil
+}
+
+func (m *model) over(id string, f bookkeeping.Final) {
+	m.finals[id] = f.Stage
+	if f.Stage != protocol.StageDone {
+		return
+	}
+	for i := range m.jobs[id] {
+		if !m.completed[taskKey{id, i}] {
+			m.t.Fatalf("%s is called done without task %d", id, i)
+		}
+	}
+}
+
+// crash ends the leader. What it had sent may be carried out before the next
+// leader claims the buckets; later it must fail.
+func (m *model) crash() {
+	if m.save != nil {
+		if rapid.Bool().Draw(m.t, "save carried out") {
+			if _, ok := m.store.commit(m.t, m.save.Txn); ok {
+				for _, c := range m.save.Txn.Then {
+					if id, final := bookkeeping.JobOfFinal(c.Set); final {
+						var f bookkeeping.Final
+						if protocol.Decode(c.Value, &f) == nil {
+							m.over(id, f)
+						}
+					}
+				}
+			}
+		} else {
+			m.orphans = append(m.orphans, m.save)
+		}
+		m.save = nil
+	}
+	m.begin()
+	for _, s := range m.orphans {
+		if _, ok := m.store.commit(m.t, s.Txn); ok {
+			m.t.Fatalf("a former leader's save was carried out after the claim")
+		}
+	}
+}
+
+func (m *model) cancel() {
+	ids := slices.Sorted(maps.Keys(m.leader.ledger.Jobs))
+	if len(ids) == 0 {
+		return
+	}
+	if j := m.leader.ledger.Jobs[rapid.SampledFrom(ids).Draw(m.t, "job")]; j.Accepted() {
+		m.leader.cancelJob(j)
+	}
+}
+
+// release returns a machine to the cloud; by its answer the machine is gone.
+func (m *model) release() {
+	i := rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "released")
+	w := m.workers[i]
+	w.alive = false
+	t, now := m.leader, m.clock.now
+	t.tombs[w.id] = now
+	if machine := t.ledger.Machines[w.id]; machine != nil {
+		t.ledger.Remove(machine, now)
+	} else {
+		t.ledger.SettleName(w.id)
+	}
+	m.workers[i] = m.newWorker()
+}
+
+func (m *model) newWorker() *modelWorker {
+	id := fmt.Sprintf("i-%06d", m.store.revision*10+uint64(len(m.workers)))
+	m.store.revision++
+	return &modelWorker{id: id, alive: true, session: 1, leaseFrom: m.clock.now, tasks: map[taskKey]modelTask{}}
+}
+
+func (m *model) check() {
+	used := 0
+	for _, w := range m.workers {
+		if !w.alive {
+			continue
+		}
+		onMachine := 0
+		for k, task := range w.tasks {
+			if task.stage == protocol.TaskExited {
+				continue
+			}
+			need := m.need(k.job)
+			used += need
+			onMachine += need
+		}
+		if onMachine > modelMachine {
+			m.t.Fatalf("%s runs %d processors", w.id, onMachine)
+		}
+	}
+	if used > modelLimit {
+		m.t.Fatalf("the team uses %d of %d processors", used, modelLimit)
+	}
+}
+
+func (m *model) need(job string) int {
+	if j := m.leader.ledger.Jobs[job]; j != nil {
+		return int(j.Spec.Need.CPU / 1_000_000)
+	}
+	return 0
+}
+
+func TestRandomDaysKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, clock: &manualClock{now: units.Second}, store: &modelStore{items: map[string]protocol.Item{}},
+			jobs: map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
+		for range 2 {
+			m.workers = append(m.workers, m.newWorker())
+		}
+		m.begin()
+		actions := []func(){m.submit, m.report, m.report, m.report, m.deliver, m.deliver, m.deliver, m.work, m.work,
+			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late}
+		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16}
+		for range rapid.IntRange(50, 250).Draw(t, "steps") {
+			actions[rapid.SampledFrom(weights).Draw(t, "action")]()
+			m.check()
+		}
+	})
+}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -102,6 +102,10 @@
 			t.ledger.Settle(m, now)
 		}
 	}
+	if !t.settled && t.ready && len(t.doubtful()) == 0 {
+		t.settled = true
+		t.Log.Info("all machines settled", "after_ms", (now-t.claimedAt)/units.Millisecond)
+	}
 	if now-t.claimedAt >= lease {
 		for id := range t.doubtful() {
 			if t.ledger.Machines[id] == nil {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -33,6 +33,7 @@
 	claimedAt units.Micros
 
 	mu          sync.Mutex
+	settled     bool
 	ready       bool
 	ledger      *bookkeeping.Ledger
 	heads       []uint64
@@ -141,9 +142,16 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.rent.catalogVersion = item.Version
+	t.install(jobs, catalog)
+	return true
+}
+
+// install takes over what the records say, and then the reports that came in
+// meanwhile.
+func (t *Term) install(jobs []*bookkeeping.Job, catalog protocol.Catalog) {
 	now := t.Clock.Steady()
 	t.ledger.SetTypes(catalog.Types)
-	t.rent.catalogVersion = item.Version
 	for _, j := range jobs {
 		j.Since = now
 		t.ledger.Jobs[j.Spec.ID] = j
@@ -155,7 +163,6 @@
 	t.early = nil
 	t.Log.Info("records restored", "jobs", len(jobs), "doubtful_machines", len(t.doubtful()), "took_ms", (now-t.claimedAt)/units.Millisecond)
 	kick(t.kickRound)
-	return true
 }
 
 // claimBuckets raises every bucket's incarnation, a transaction's worth at a
@@ -335,7 +342,9 @@
 	for _, key := range c.Keys {
 		id, isFinal := bookkeeping.JobOfFinal(key)
 		if !isFinal {
-			t.Log.Error("save met another writer's version; the term is given up", "keys", c.Keys, "jobs", s.Jobs())
+			if t.Lease.Valid(t.number) {
+				t.Log.Error("save met another writer's version; the term is given up", "keys", c.Keys, "jobs", s.Jobs())
+			}
 			t.Lease.Resign()
 			return
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -225,12 +225,7 @@
 		defer t.mu.Unlock()
 		return jobAnswer(http.StatusOK, j)
 	}
-	if !j.Complete() && !j.Cancelled {
-		j.Cancelled = true
-		t.Log.Info("job cancelled", "job", id, "live", len(j.Live))
-		j.Changed(t.Clock.Steady(), true)
-		kick(t.kickSave)
-	}
+	t.cancelJob(j)
 	saved := j.Saved()
 	t.mu.Unlock()
 	if !waitFor(ctx, saved) {
@@ -248,6 +243,18 @@
 	return t.Poll(ctx, id)
 }
 
+// cancelJob notes that a user wants a job cancelled, unless all its tasks are
+// done: then it is done, though its user may not have been told.
+func (t *Term) cancelJob(j *bookkeeping.Job) {
+	if j.Complete() || j.Cancelled {
+		return
+	}
+	j.Cancelled = true
+	t.Log.Info("job cancelled", "job", j.Spec.ID, "live", len(j.Live))
+	j.Changed(t.Clock.Steady(), true)
+	kick(t.kickSave)
+}
+
 // PollStored answers a poll from the records alone, for a node that does not
 // lead and cannot reach the leader. What they say was committed before anybody
 // was told of it, so a fresh read is never older than an earlier answer.
