--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,132 @@
+// Package standin has small stand-ins for the systems around a controller,
+// for tests.
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+
+	"dunestand/internal/protocol"
+)
+
+// State is a state service in memory.
+type State struct {
+	mu       sync.Mutex
+	items    map[string]protocol.Item
+	revision uint64
+	commits  int
+
+	// Refuse answers a request with 503 without carrying it out.
+	Refuse func(method, path string) bool
+	// Silent carries a commit out and then does not answer it.
+	Silent func(commit int) bool
+}
+
+// NewState makes an empty state service.
+func NewState() *State { return &State{items: map[string]protocol.Item{}} }
+
+// Keys lists the keys with a prefix.
+func (s *State) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Put writes a key, whatever its version.
+func (s *State) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = protocol.Item{Key: key, Value: value, Version: s.revision}
+}
+
+// Get reads a key.
+func (s *State) Get(key string) (protocol.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, ok := s.items[key]
+	return item, ok
+}
+
+// Apply carries a transaction out.
+func (s *State) Apply(txn protocol.Txn) (protocol.TxnAnswer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var answer protocol.TxnAnswer
+	for _, c := range txn.If {
+		if s.items[c.Key].Version != c.Version {
+			answer.Failed = append(answer.Failed, c.Key)
+		}
+	}
+	if len(answer.Failed) == 0 {
+		s.revision++
+		for _, c := range txn.Then {
+			if c.Delete != "" {
+				delete(s.items, c.Delete)
+			} else {
+				s.items[c.Set] = protocol.Item{Key: c.Set, Value: c.Value, Version: s.revision}
+			}
+		}
+	}
+	answer.Revision = s.revision
+	return answer, len(answer.Failed) == 0
+}
+
+// ServeHTTP implements the parts of the protocol that controllers use.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Refuse != nil && s.Refuse(r.Method, r.URL.Path) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch {
+	case r.URL.Path == protocol.PathCommit:
+		body, _ := io.ReadAll(r.Body)
+		var txn protocol.Txn
+		if protocol.Decode(body, &txn) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		answer, ok := s.Apply(txn)
+		s.mu.Lock()
+		s.commits++
+		n := s.commits
+		s.mu.Unlock()
+		if s.Silent != nil && s.Silent(n) {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, status(ok, http.StatusConflict), answer)
+	case r.URL.Path == protocol.PathKeys:
+		list := protocol.ItemList{Items: []protocol.Item{}}
+		for _, k := range s.Keys(r.URL.Query().Get("prefix")) {
+			if item, ok := s.Get(k); ok && k > r.URL.Query().Get("from") {
+				list.Items = append(list.Items, item)
+			}
+		}
+		reply(w, http.StatusOK, list)
+	default:
+		item, ok := s.Get(strings.TrimPrefix(r.URL.Path, protocol.PathKeys+"/"))
+		reply(w, status(ok, http.StatusNotFound), item)
+	}
+}
+
+func status(ok bool, otherwise int) int {
+	if ok {
+		return http.StatusOK
+	}
+	return otherwise
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	_, _ = w.Write(protocol.Encode(body))
+}
