Take gangs and services; give all machines back when there is no work

Gangs are placed whole or not at all and share an attempt number (without it their workers ended as 'alone'); replicas are spread over zones, then machines. The reserve is kept only while there is work.

--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -69,6 +69,7 @@
 	ID         string       `cbor:"id" json:"id"`
 	Class      string       `cbor:"class" json:"class"`
 	Team       string       `cbor:"team" json:"team"`
+	Shape      uint8        `cbor:"shape" json:"shape"`
 	Priority   uint8        `cbor:"priority" json:"priority"`
 	Tasks      int          `cbor:"tasks" json:"tasks"`
 	CPU        units.Amount `cbor:"cpu" json:"cpu"`
@@ -134,7 +135,7 @@
 func (j *Job) record(save string, machines []string) record {
 	s := &j.Spec
 	return record{
-		Format: recordFormat, Save: save, ID: s.ID, Class: s.Class, Team: s.Team, Priority: uint8(s.Priority),
+		Format: recordFormat, Save: save, ID: s.ID, Class: s.Class, Team: s.Team, Shape: uint8(s.Shape), Priority: uint8(s.Priority),
 		Tasks: s.Tasks, CPU: s.Need.CPU, GPU: s.Need.GPU, Memory: s.Need.Memory, Types: s.Types, Zone: s.Zone,
 		OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageSize: s.ImageSize,
 		Estimate: s.Estimate, Checkpoint: s.Checkpoint, SaveTime: s.Save, Deadline: s.Deadline,
@@ -164,11 +165,11 @@
 		return nil, r, fmt.Errorf("record %s: format %d is not known", key, r.Format)
 	case !protocol.ValidJobID(r.ID) || KeyJob(r.ID) != key:
 		return nil, r, fmt.Errorf("record %s: names job %q", key, r.ID)
-	case r.Tasks < 1 || r.Tasks > protocol.MaxTasks || int(r.Priority) >= protocol.Priorities || r.Pages != (r.Tasks-1)/pageTasks:
+	case r.Tasks < 1 || r.Tasks > protocol.MaxTasks || int(r.Priority) >= protocol.Priorities || int(r.Shape) >= protocol.Shapes || r.Pages != (r.Tasks-1)/pageTasks:
 		return nil, r, fmt.Errorf("record %s: out of range", key)
 	}
 	j := newJob(protocol.JobSpec{
-		ID: r.ID, Class: r.Class, Team: r.Team, Priority: protocol.Priority(r.Priority), Tasks: r.Tasks,
+		ID: r.ID, Class: r.Class, Team: r.Team, Shape: protocol.Shape(r.Shape), Priority: protocol.Priority(r.Priority), Tasks: r.Tasks,
 		Need:  units.Resources{CPU: r.CPU, GPU: r.GPU, Memory: r.Memory},
 		Types: r.Types, Zone: r.Zone, OneZone: r.OneZone, Spread: r.Spread, Spot: r.Spot,
 		Image: r.Image, ImageSize: r.ImageSize, Estimate: r.Estimate, Checkpoint: r.Checkpoint,
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -20,6 +20,7 @@
 	amount := rapid.Int64Range(0, 1e12)
 	return protocol.JobSpec{
 		ID: fmt.Sprintf("j-%06d", rapid.IntRange(0, 999999).Draw(t, "id")), Class: text.Draw(t, "class"), Team: "team",
+		Shape:    protocol.Shape(rapid.IntRange(0, 2).Draw(t, "shape")),
 		Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
 		Tasks:    rapid.SampledFrom([]int{1, 7, 8, 9, 300, 16384, 16385, 40000, protocol.MaxTasks}).Draw(t, "tasks"),
 		Need: units.Resources{CPU: units.Amount(amount.Draw(t, "cpu")), GPU: units.Amount(amount.Draw(t, "gpu")),
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -44,6 +44,7 @@
 	LimitCPUs      float64 `expr:"limit_cpus"`
 	DemandCPUs     float64 `expr:"demand_cpus"`
 	FleetCPUs      float64 `expr:"fleet_cpus"`
+	QuietS         float64 `expr:"quiet_s"`
 	Hour           int     `expr:"hour"`
 }
 
--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -306,6 +306,10 @@
 
 func (t *Term) fleetInput() config.FleetInput {
 	in := config.FleetInput{Hour: int(t.Clock.Wall() / units.Second / 3600 % 24)}
+	if len(t.ledger.Jobs) > 0 {
+		t.lastWork = t.Clock.Steady()
+	}
+	in.QuietS = (t.Clock.Steady() - t.lastWork).Seconds()
 	for _, team := range t.ledger.Teams {
 		in.GuaranteedCPUs += team.Guarantee.CPU.Float()
 		in.LimitCPUs += team.Limit.CPU.Float()
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -55,7 +55,9 @@
 	Rank       float64
 	Order      int64 // settles ties: the earlier submission first
 	Pending    int
-	LiveIn     map[string]int // tasks that may be on machines, by zone
+	Live       int            // tasks that may be on machines
+	LiveIn     map[string]int // the same by zone, for jobs that care
+	LiveOn     map[int]int    // and by machine, for services
 	Avoid      func(machine int) bool
 }
 
@@ -103,6 +105,10 @@
 		if p.closed[j.Team] {
 			continue
 		}
+		if j.Spec.Shape == protocol.Gang {
+			p.placeGang(i, j)
+			continue
+		}
 		p.place(i, j)
 		if j.Pending > 0 {
 			// Jobs of small tasks must not take what is left of the limit
@@ -185,7 +191,7 @@
 		if n <= 0 {
 			return
 		}
-		best, bestKey := -1, [4]int64{}
+		best, bestKey := -1, [6]int64{}
 		for k := range p.s.Machines {
 			m := &p.s.Machines[k]
 			if !p.usable(k, j) || m.Free.Fits(j.Spec.Need) == 0 {
@@ -194,15 +200,20 @@
 			if m.Slow && j.Spec.Priority >= protocol.High {
 				continue
 			}
-			key := [4]int64{0, 0, 0, int64(m.Free.CPU)}
+			key := [6]int64{5: int64(m.Free.CPU)}
+			if j.Spec.Shape == protocol.Service {
+				// Replicas go to different zones, then to different machines.
+				key[0], key[1] = -int64(j.LiveIn[m.Zone]), -int64(j.LiveOn[k])
+				n = 1
+			}
 			if !m.Slow {
-				key[0] = 1
+				key[2] = 1
 			}
 			if m.Images(j.Spec.Image) {
-				key[1] = 1
+				key[3] = 1
 			}
 			if m.Answering {
-				key[2] = 1
+				key[4] = 1
 			}
 			if best < 0 || slices.Compare(key[:], bestKey[:]) > 0 {
 				best, bestKey = k, key
@@ -217,6 +228,25 @@
 	}
 }
 
+// placeGang starts all of a gang's tasks or none. While some of its tasks may
+// still be on machines, the rest waits for them to end.
+func (p *planner) placeGang(i int, j *JobView) {
+	if j.Live > 0 || p.headroom(j) < j.Pending {
+		return
+	}
+	machines, pending, batch, starts := slices.Clone(p.s.Machines), j.Pending, p.batch, len(p.out.Starts)
+	used, leave := p.s.Teams[j.Team].Used, p.leave[j.Team]
+	p.batch = max(p.batch, pending)
+	p.place(i, j)
+	if j.Pending == 0 {
+		return
+	}
+	copy(p.s.Machines, machines)
+	j.Pending, p.batch, p.out.Starts = pending, batch, p.out.Starts[:starts]
+	p.s.Teams[j.Team].Used, p.leave[j.Team] = used, leave
+	clear(j.LiveIn)
+}
+
 func (p *planner) start(i int, j *JobView, machine, n int) {
 	m := &p.s.Machines[machine]
 	m.Free = m.Free.Plus(j.Spec.Need, -n)
@@ -224,6 +254,9 @@
 	t.Used = t.Used.Plus(j.Spec.Need, n)
 	p.leave[j.Team] = p.leave[j.Team].Plus(j.Spec.Need, n)
 	j.LiveIn[m.Zone] += n
+	if j.LiveOn != nil {
+		j.LiveOn[machine] += n
+	}
 	j.Pending -= n
 	p.batch -= n
 	p.out.Starts = append(p.out.Starts, Starts{Job: i, Machine: machine, Count: n})
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -126,10 +126,15 @@
 	began := t.Clock.Steady()
 	s, refs := t.snapshot(now, answering)
 	wanted := Plan(&s)
+	gangs := map[int]bool{}
 	for _, w := range wanted.Starts {
 		j, m := refs.jobs[w.Job], refs.machines[w.Machine]
 		for range w.Count {
-			t.attempts++
+			// A gang's tasks find each other by the attempt they share.
+			if j.Spec.Shape != protocol.Gang || !gangs[w.Job] {
+				t.attempts++
+				gangs[w.Job] = true
+			}
 			a := t.ledger.Assign(j, m, t.number<<32|t.attempts, now)
 			if a == nil {
 				break
@@ -183,7 +188,7 @@
 		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
 		g := s.Teams[team].Guarantee
 		in := t.rankInput(j)
-		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(),
+		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(), Live: len(j.Live),
 			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
 			Late:       in.Late, Rank: t.Policy.Rank(in), LiveIn: map[string]int{},
 			Avoid: func(k int) bool {
@@ -194,11 +199,14 @@
 		if !j.Waiting() || now < j.RetryAt || len(j.Doubts) > 0 {
 			continue
 		}
-		if j.Spec.OneZone || j.Spec.Spread {
+		if j.Spec.OneZone || j.Spec.Spread || j.Spec.Shape == protocol.Service {
 			for _, a := range j.Live {
 				view.LiveIn[a.Machine.Zone]++
 			}
 		}
+		if j.Spec.Shape == protocol.Service {
+			view.LiveOn = map[int]int{} // filled with the machines below
+		}
 		waiting += view.Pending
 		s.Jobs = append(s.Jobs, *view)
 		refs.jobs = append(refs.jobs, j)
@@ -213,6 +221,9 @@
 		view.Accepts = m.Settled && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
 			now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
 		for _, a := range m.Sorted() {
+			if view := views[a.Job.Spec.ID]; view != nil && view.LiveOn != nil {
+				view.LiveOn[len(refs.machines)]++
+			}
 			if a.Stop {
 				view.Freeing = view.Freeing.Plus(a.Job.Spec.Need, 1)
 				if team, ok := teams[a.Job.Spec.Team]; ok {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -44,6 +44,7 @@
 	saves       uint64
 	hires       uint64
 	lastRound   units.Micros
+	lastWork    units.Micros // when there was an unfinished job
 	roundCost   units.Micros // moving mean
 	lastSummary units.Micros
 	tombs       map[string]units.Micros
@@ -67,7 +68,7 @@
 // once; everything else waits for Run to restore the records.
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
-	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(),
+	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
 		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams), heads: make([]uint64, bookkeeping.Buckets),
 		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{},
 		rent:     newRenting(),
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -65,6 +65,22 @@
 	return 0, false
 }
 
+// Shape is how a job's tasks belong together.
+type Shape uint8
+
+// The shapes. Array tasks are independent. A gang's tasks start only when all
+// fit at once; a service's tasks are replicas, kept apart where possible.
+const (
+	Array Shape = iota
+	Gang
+	Service
+)
+
+var shapes = map[string]Shape{"sweep": Array, "gang": Gang, "service": Service}
+
+// Shapes is the number of shapes.
+const Shapes = 3
+
 // MaxTasks is the most tasks that a job may have.
 const MaxTasks = 100_000
 
@@ -79,6 +95,7 @@
 	ID         string
 	Class      string
 	Team       string
+	Shape      Shape
 	Priority   Priority
 	Tasks      int
 	Need       units.Resources
@@ -145,7 +162,8 @@
 	if !ValidJobID(*w.UID) {
 		return nil, errors.New("uid: not of the form j-000412")
 	}
-	if *w.Shape != "sweep" {
+	shape, ok := shapes[*w.Shape]
+	if !ok {
 		return nil, errors.New("shape: unknown")
 	}
 	priority, ok := ParsePriority(*w.Urgency)
@@ -186,7 +204,7 @@
 		return nil, errors.New("looms: empty; null means any")
 	}
 	job := &JobSpec{
-		ID: *w.UID, Class: *w.Queue, Team: *w.Crew, Priority: priority, Tasks: int(*w.Bolts),
+		ID: *w.UID, Class: *w.Queue, Team: *w.Crew, Shape: shape, Priority: priority, Tasks: int(*w.Bolts),
 		Need:  units.Resources{CPU: units.AmountOf(*w.VCPUs), GPU: units.AmountOf(*w.Cards), Memory: units.AmountOf(*w.Memory)},
 		Types: w.Looms, OneZone: *w.Tog, Spread: *w.Apart, Spot: *w.Spot,
 		Image: *w.Pattern, ImageSize: units.AmountOf(*w.ImageGB),
