--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -49,7 +49,6 @@
 		if !t.Lease.Valid(t.number) {
 			continue
 		}
-		t.checkContact()
 		now := t.Clock.Steady()
 		if t.rent.catalogAt == 0 || now-t.rent.catalogAt >= catalogEvery {
 			t.readCatalog(ctx)
@@ -62,27 +61,6 @@
 	}
 }
 
-// checkContact gives the lease up when none of several machines has been
-// heard for so long that it must be this node that is cut off. Another node
-// may still reach them before their leases run out.
-func (t *Term) checkContact() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Clock.Steady()
-	quiet := t.Settings.Fleet.Workers.Report().Share(3, 2) + 1200*units.Millisecond
-	last, known := t.claimedAt+2*units.Second, 0
-	for _, m := range t.ledger.Machines {
-		if m.Seen && !m.Releasing {
-			known++
-			last = max(last, m.LastAnswered)
-		}
-	}
-	if t.ready && known >= 2 && now-last > quiet && now-last < 3*quiet {
-		t.Log.Info("no machine reports; the lease is given up", "machines", known, "silent_ms", (now-last)/units.Millisecond)
-		t.Lease.Resign()
-	}
-}
-
 func (t *Term) readCatalog(ctx context.Context) {
 	c, err := t.Cloud.Catalog(ctx)
 	if err != nil || len(c.Types) == 0 {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -32,6 +32,7 @@
 
 const (
 	pingEvery   = units.Second
+	pingFirst   = 150 * units.Millisecond  // until a peer answers
 	forwardWait = 1700 * units.Millisecond // users wait 2 s for a poll
 	linkFresh   = 3 * units.Second
 )
@@ -60,8 +61,11 @@
 		}()
 		go func() {
 			defer wg.Done()
-			for pause(ctx, pingEvery) {
+			for wait := pingFirst; pause(ctx, wait); {
 				_ = l.link.Send(protocol.EncodeFrame(protocol.Frame{Kind: protocol.FramePing}))
+				if wait = pingEvery; !p.fresh(l) {
+					wait = pingFirst
+				}
 			}
 		}()
 	}
@@ -95,7 +99,11 @@
 // Reaches tells whether a peer has answered lately.
 func (p *Peers) Reaches(node string) bool {
 	l := p.links[node]
-	return l != nil && l.link.Up() && p.clock.Steady()-units.Micros(l.heard.Load()) < linkFresh
+	return l != nil && p.fresh(l)
+}
+
+func (p *Peers) fresh(l *peerLink) bool {
+	return l.link.Up() && p.clock.Steady()-units.Micros(l.heard.Load()) < linkFresh
 }
 
 // ReachesAny tells whether any peer has answered lately.
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -33,6 +33,7 @@
 		now := t.Clock.Steady()
 		if t.Lease.Valid(t.number) {
 			t.expire(now)
+			t.checkContact(now)
 			if now-t.lastSummary >= summaryEvery {
 				t.lastSummary = now
 				t.summary(now)
@@ -47,6 +48,25 @@
 	}
 }
 
+// checkContact gives the lease up when none of several machines has been
+// heard for so long that it must be this node that is cut off. Another node
+// may still reach them before their leases run out. This must not wait for
+// anything that the same cut may hold up, such as a call to the cloud.
+func (t *Term) checkContact(now units.Micros) {
+	quiet := t.Settings.Fleet.Workers.Report().Share(3, 2) + 1200*units.Millisecond
+	last, known := t.claimedAt+2*units.Second, 0
+	for _, m := range t.ledger.Machines {
+		if m.Seen && !m.Releasing {
+			known++
+			last = max(last, m.LastAnswered)
+		}
+	}
+	if t.ready && known >= 2 && now-last > quiet && now-last < 3*quiet {
+		t.Log.Info("no machine reports; the lease is given up", "machines", known, "silent_ms", (now-last)/units.Millisecond)
+		t.Lease.Resign()
+	}
+}
+
 // summary logs how full the fleet is and what waits.
 func (t *Term) summary(now units.Micros) {
 	var size, used units.Resources
