--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -38,9 +38,12 @@
 	rentsAtOnce  = 3
 	refusedFirst = 8 * units.Second
 	refusedMost  = 40 * units.Second
-	bootPatience = 3                 // boot times until a machine is not reckoned with
-	bootLimit    = 6                 // boot times until it is given up
-	tombKept     = 90 * units.Second // for how long a released machine may still be listed
+	bootPatience = 3 // boot times until a machine is not reckoned with
+	bootLimit    = 6 // boot times until it is given up
+	// findLeader is how long a worker may take to find a new leader: it waits
+	// 4 s on a node that does not answer, and tries the next after 1 s.
+	findLeader = 6500 * units.Millisecond
+	tombKept   = 90 * units.Second // for how long a released machine may still be listed
 )
 
 // cloudLoop keeps the rented machines as wanted.
@@ -199,7 +202,7 @@
 			mark(m, "faulty")
 		case !m.Seen && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
 			mark(m, "never came up")
-		case m.Seen && silent[id] && reporting > len(silent):
+		case silent[id] && reporting >= 2*len(silent):
 			// Waiting for its lease would take longer, and what is known to
 			// be gone can start elsewhere.
 			mark(m, "silent")
@@ -209,7 +212,7 @@
 		}
 	}
 	for id := range silent {
-		if t.ledger.Machines[id] == nil && reporting > len(silent) {
+		if t.ledger.Machines[id] == nil && reporting >= 2*len(silent) {
 			chosen[id] = true
 		}
 	}
@@ -225,19 +228,19 @@
 func (t *Term) silentMachines(now units.Micros) (map[string]bool, int) {
 	silent, reporting := map[string]bool{}, 0
 	limit := t.silentAfter() + units.Second
-	start := t.claimedAt + 2*units.Second // the workers had to find this node
 	for id, m := range t.ledger.Machines {
 		switch {
-		case !m.Seen && !t.ledger.Doubtful(id):
-		case now-max(m.LastAnswered, start) > limit:
+		case m.Seen && now-m.LastAnswered > limit:
 			silent[id] = true
 		case m.Seen:
 			reporting++
 		}
 	}
-	for id := range t.doubtful() {
-		if t.ledger.Machines[id] == nil && now-start > limit {
-			silent[id] = true
+	if now-t.claimedAt > findLeader {
+		for id := range t.doubtful() {
+			if m := t.ledger.Machines[id]; m == nil || !m.Seen {
+				silent[id] = true
+			}
 		}
 	}
 	return silent, reporting
