Reckon a worker's search for a new leader by the controllers out of reach

The time now is 2.5 s and one report, and 5 s for each controller from which not even a refusal comes, since workers wait 4 s on such a node.

--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -40,10 +40,11 @@
 	refusedMost  = 40 * units.Second
 	bootPatience = 3 // boot times until a machine is not reckoned with
 	bootLimit    = 6 // boot times until it is given up
-	// findLeader is how long a worker may take to find a new leader: it waits
-	// 4 s on a node that does not answer, and tries the next after 1 s.
-	findLeader = 6500 * units.Millisecond
-	tombKept   = 90 * units.Second // for how long a released machine may still be listed
+	// A worker that looks for a new leader tries the next node after 1 s, and
+	// waits 4 s on each that does not answer.
+	searchStart = 2500 * units.Millisecond
+	searchNode  = 5 * units.Second
+	tombKept    = 90 * units.Second // for how long a released machine may still be listed
 )
 
 // cloudLoop keeps the rented machines as wanted.
@@ -236,7 +237,8 @@
 			reporting++
 		}
 	}
-	if now-t.claimedAt > findLeader {
+	t.unreached = max(t.unreached, t.Unreached())
+	if now-t.claimedAt > searchStart+t.Settings.Fleet.Workers.Report().Share(5, 4)+searchNode*units.Micros(t.unreached) {
 		for id := range t.doubtful() {
 			if m := t.ledger.Machines[id]; m == nil || !m.Seen {
 				silent[id] = true
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -40,6 +40,7 @@
 		peers:  NewPeers(s.Others, clock, random, log),
 		server: transport.NewServer(max(s.Fleet.Resources.MaxConnections-socketsKept, s.Fleet.Resources.MaxConnections/2)),
 	}
+	c.deps.Unreached = c.peers.Unreached
 	c.lastWorker.Store(-1 << 50)
 	lease.Connected = func() bool {
 		return len(s.Others) == 0 || c.peers.ReachesAny() || clock.Steady()-units.Micros(c.lastWorker.Load()) < linkFresh
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -106,6 +106,17 @@
 	return l.link.Up() && p.clock.Steady()-units.Micros(l.heard.Load()) < linkFresh
 }
 
+// Unreached counts the peers from which nothing comes, not even a refusal.
+func (p *Peers) Unreached() int {
+	n := 0
+	for _, l := range p.links {
+		if !p.fresh(l) && !l.link.Refused() {
+			n++
+		}
+	}
+	return n
+}
+
 // ReachesAny tells whether any peer has answered lately.
 func (p *Peers) ReachesAny() bool {
 	for node := range p.links {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -25,6 +25,8 @@
 	Clock    units.Clock
 	Log      *slog.Logger
 	Metrics  *Metrics
+	// Unreached counts the other controllers that cannot be reached.
+	Unreached func() int
 }
 
 // Term is one node's time as leader. What it knows is gone with it.
@@ -47,6 +49,7 @@
 	lastWork    units.Micros // when there was an unfinished job
 	roundCost   units.Micros // moving mean
 	lastSummary units.Micros
+	unreached   int // the most controllers out of reach at a time in this term
 	tombs       map[string]units.Micros
 	saving      int
 	rent        renting
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 	addr    string
 	out     chan []byte
 	up      atomic.Bool
+	refused atomic.Bool
 	receive func(frame []byte)
 	down    func()
 	log     *slog.Logger
@@ -61,11 +63,16 @@
 // Up tells whether the link is connected, as far as this side knows.
 func (l *Link) Up() bool { return l.up.Load() }
 
+// Refused tells whether the peer's machine answers but its process does not:
+// the last try to connect was refused at once.
+func (l *Link) Refused() bool { return l.refused.Load() }
+
 // Run keeps the link connected until ctx ends.
 func (l *Link) Run(ctx context.Context) {
 	wait := redialFirst
 	for ctx.Err() == nil {
 		c, err := (&net.Dialer{Timeout: linkDial}).DialContext(ctx, "tcp", l.addr)
+		l.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 		if err == nil {
 			began := time.Now()
 			l.serve(ctx, c)
