--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -12,6 +12,7 @@
 
 	"dunestand/internal/config"
 	"dunestand/internal/protocol"
+	_ "dunestand/internal/standin/fixedseed"
 	"dunestand/internal/units"
 )
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "dunestand/internal/standin/fixedseed"
 )
 
 func goodSettings() map[string]any {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "dunestand/internal/standin/fixedseed"
 )
 
 func goodSubmission() map[string]any {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -15,6 +15,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "dunestand/internal/standin/fixedseed"
 	"dunestand/internal/units"
 )
 
--- a/internal/units/units_test.go
+++ b/internal/units/units_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "dunestand/internal/standin/fixedseed"
 )
 
 func TestFitsIsTheMostThatFits(t *testing.T) {
