--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -194,7 +194,7 @@
 			m.Releasing = true
 		}
 	}
-	silent, reporting := t.silentMachines(now)
+	silent, release := t.silentMachines(now)
 	for _, id := range sortedKeys(t.ledger.Machines) {
 		m := t.ledger.Machines[id]
 		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
@@ -203,7 +203,7 @@
 			mark(m, "faulty")
 		case !m.Seen && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
 			mark(m, "never came up")
-		case silent[id] && reporting >= 2*len(silent):
+		case silent[id] && release:
 			// Waiting for its lease would take longer, and what is known to
 			// be gone can start elsewhere.
 			mark(m, "silent")
@@ -213,7 +213,7 @@
 		}
 	}
 	for id := range silent {
-		if t.ledger.Machines[id] == nil && reporting >= 2*len(silent) {
+		if t.ledger.Machines[id] == nil && release {
 			chosen[id] = true
 		}
 	}
@@ -225,14 +225,21 @@
 }
 
 // silentMachines gives the machines that should report and do not, those of
-// which only a record tells among them, and the number that do report.
-func (t *Term) silentMachines(now units.Micros) (map[string]bool, int) {
-	silent, reporting := map[string]bool{}, 0
+// which only a record tells among them, and whether to release them: only
+// while most others report. When many fall silent together it is the network,
+// and they may well be back. Those that are merely late count as well, since
+// machines cut off at one moment do not reach the limit at one moment.
+func (t *Term) silentMachines(now units.Micros) (silent map[string]bool, release bool) {
+	silent = map[string]bool{}
+	reporting, late := 0, 0
+	report := t.Settings.Fleet.Workers.Report()
 	limit := t.silentAfter() + units.Second
 	for id, m := range t.ledger.Machines {
 		switch {
 		case m.Seen && now-m.LastAnswered > limit:
 			silent[id] = true
+		case m.Seen && now-m.LastAnswered > report.Share(5, 4)+units.Second:
+			late++
 		case m.Seen:
 			reporting++
 		}
@@ -245,7 +252,7 @@
 			}
 		}
 	}
-	return silent, reporting
+	return silent, reporting >= 2*(len(silent)+late)
 }
 
 // idle chooses machines that nothing has needed for a while, the dearest
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -205,3 +206,32 @@
 		t.Error("a job that fails everywhere is retried at once")
 	}
 }
+
+// One machine that falls silent is released; when half of them do, it is the
+// network: on a recorded day five of twelve machines that were cut off for 14 s
+// were given away, since they reached the limit a little before the others.
+func TestManySilentMachinesAreKept(t *testing.T) {
+	clock := &manualClock{now: 100 * units.Second}
+	term := testTerm(1, clock)
+	term.install(nil, modelCatalog)
+	report := func(machines int, seq uint64) {
+		for i := range machines {
+			r := &protocol.Report{Machine: fmt.Sprintf("i-%06d", i), Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}
+			if _, ok := term.Report(t.Context(), r); !ok {
+				t.Fatal("report refused")
+			}
+		}
+	}
+	report(10, 1)
+	clock.now += 4500 * units.Millisecond
+	report(9, 2) // one of ten has been silent for 4.5 s
+	clock.now += 600 * units.Millisecond
+	if silent, release := term.silentMachines(clock.now); len(silent) != 1 || !release {
+		t.Fatalf("%d silent, release %v", len(silent), release)
+	}
+	clock.now += 2 * units.Second
+	report(4, 3) // five more are late by now
+	if silent, release := term.silentMachines(clock.now); len(silent) != 1 || release {
+		t.Fatalf("%d silent, release %v", len(silent), release)
+	}
+}
