Guard against attempts that outlive their job; reserve connections for the lease

Cause, found by reading: the end of an attempt whose job had left the ledger was looked up there and would have ended the process. Polls about unknown jobs and hanging requests could also keep the lease's renewal waiting for a connection; it has two of its own now, and such polls are refused beyond the node's share.

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -371,8 +371,8 @@
 	}
 }
 
-// Slack tells whether anything that a job waits for is still open on it.
+// Waiting tells whether tasks of the job are to be placed.
 func (j *Job) Waiting() bool { return j.stored && !j.Cancelled && j.Pending() > 0 }
 
-// Attempts lists a machine's attempts in a fixed order.
+// Sorted lists the machine's attempts in a fixed order.
 func (m *Machine) Sorted() []*Attempt { return sortedAttempts(m) }
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -40,7 +40,8 @@
 	client   *transport.Client
 	requests *rate.Limiter
 	writes   *rate.Limiter
-	Stats    StoreStats
+	addr     string
+	Stats    *StoreStats
 }
 
 // StoreStats counts what was sent.
@@ -58,11 +59,19 @@
 	burst := func(r float64) int { return max(int(r/2), 16) }
 	return &Store{
 		client:   transport.NewClient(addr, 8, 4<<20),
+		addr:     addr,
+		Stats:    new(StoreStats),
 		requests: rate.NewLimiter(rate.Limit(limits.RPS*requestShare), burst(limits.RPS*requestShare)),
 		writes:   rate.NewLimiter(rate.Limit(limits.WriteRPS*writeShare), burst(limits.WriteRPS*writeShare)),
 	}
 }
 
+// Reserved is the same store over connections of its own: a lease must not
+// wait behind requests that hang.
+func (s *Store) Reserved() *Store {
+	return &Store{client: transport.NewClient(s.addr, 2, 1<<20), addr: s.addr, requests: s.requests, writes: s.writes, Stats: s.Stats}
+}
+
 // Get reads a key.
 func (s *Store) Get(ctx context.Context, key string, limit units.Micros) (protocol.Item, bool, error) {
 	var item protocol.Item
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -33,7 +33,7 @@
 func NewController(s *config.Settings, policy *config.Policy, clock units.Clock, random *rand.Rand, log *slog.Logger) *Controller {
 	store := bookkeeping.NewStore(s.Services.State, s.Fleet.State)
 	metrics := NewMetrics()
-	lease := NewFleetLease(s.Node, store, clock, TimingFor(s.Fleet.Workers.Lease()), random, log)
+	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), random, log)
 	c := &Controller{
 		deps: Deps{Settings: s, Policy: policy, Store: store, Cloud: bookkeeping.NewCloud(s.Services.Cloud, s.Fleet.Cloud),
 			Lease: lease, Clock: clock, Log: log, Metrics: metrics},
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -132,6 +132,9 @@
 		}
 		return
 	}
+	// The job may have ended and left the ledger while an attempt of a task
+	// that was done elsewhere was still on its way out.
+	j = a.Job
 	t.Log.Debug("task ended", "task", a.Task(), "attempt", a.Number, "machine", m.ID, "cause", task.Cause, "saved", task.Saved)
 	switch task.Cause {
 	case protocol.CauseDone:
@@ -166,6 +169,7 @@
 		a = t.ledger.Adopt(j, key.Index, key.Number, m, now)
 		t.Log.Debug("attempt adopted", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
 	}
+	j = a.Job
 	switch task.Stage {
 	case protocol.TaskFetching:
 		a.Stage = bookkeeping.Fetching
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -53,7 +53,6 @@
 	tombs       map[string]units.Micros
 	saving      int
 	rent        renting
-	cloudBad    bool
 
 	kickSave  chan struct{}
 	kickRound chan struct{}
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -46,8 +46,10 @@
 	term := storedTerm(t, 1, s)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	if !term.restore(ctx) && !term.restore(ctx) && !term.restore(ctx) {
-		t.Fatal("not restored")
+	for try := 0; !term.restore(ctx); try++ {
+		if try == 3 {
+			t.Fatal("not restored")
+		}
 	}
 	term.ledger.SetTypes(modelCatalog.Types)
 	go term.saveLoop(ctx)
@@ -235,3 +237,43 @@
 		t.Fatalf("%d silent, release %v", len(silent), release)
 	}
 }
+
+// A task that two attempts run, one of a former leader's that nobody knew of,
+// ends its job when the first is done. What is then heard of the other must not
+// trip over the job that has left the ledger.
+func TestAttemptOutlivesItsJob(t *testing.T) {
+	clock := &manualClock{now: units.Second}
+	term := testTerm(2, clock)
+	term.install(nil, modelCatalog)
+	l := term.ledger
+	spec := *modelSpec("j-000001")
+	spec.Tasks = 1
+	j := l.NewJob(spec, clock.now, clock.now)
+	save := func() {
+		if s := l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, clock.now); s != nil {
+			l.Applied(s, 1)
+		}
+	}
+	save()
+	m := l.Machine("i-000001", "m", "a", true, clock.now)
+	a := l.Assign(j, m, 7, clock.now)
+	a.Stage = bookkeeping.Running
+	l.Done(j, 0, clock.now) // told by another machine
+	save()
+	if l.Jobs["j-000001"] != nil {
+		t.Fatal("the job is still there")
+	}
+	for seq, task := range []protocol.TaskReport{
+		{Job: "j-000001", Attempt: 7, Stage: protocol.TaskFetching},
+		{Job: "j-000001", Attempt: 7, Stage: protocol.TaskRunning},
+		{Job: "j-000001", Attempt: 7, Stage: protocol.TaskExited, Cause: protocol.CauseDone},
+	} {
+		r := &protocol.Report{Machine: m.ID, Type: "m", Zone: "a", Session: 1, Seq: uint64(seq + 1), Term: 2, Tasks: []protocol.TaskReport{task}}
+		if _, ok := term.Report(t.Context(), r); !ok {
+			t.Fatal("report refused")
+		}
+	}
+	if len(m.Attempts) != 0 || m.Used != (units.Resources{}) {
+		t.Fatalf("left on the machine: %v", m.Attempts)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -57,6 +57,9 @@
 	if ok {
 		return f, true, nil
 	}
+	if !t.Store.Spare() {
+		return f, false, bookkeeping.ErrRefused // questions about unknown jobs must not crowd out the rest
+	}
 	f, ok, err := t.readFinal(ctx, id)
 	if ok {
 		t.mu.Lock()
