Do not take an own lease again while cut off; never settle a machine by the list

Causes, found by reading: a machine that a record names and the list lacks was taken for gone, which the protocol does not allow; and a leader that was cut off, ended and came back took its lease again without hearing a worker. A leader that hears none of the machines its records name now gives the lease up as well.

--- a/cmd/dunestand/main.go
+++ b/cmd/dunestand/main.go
@@ -85,7 +85,13 @@
 			return nil
 		},
 	})
-	version := &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+	version := &cobra.Command{Use: "version", Short: "Print the version",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return badInput{fmt.Errorf("%s: expected no arguments", cmd.CommandPath())}
+			}
+			return nil
+		},
 		Run: func(cmd *cobra.Command, _ []string) {
 			fmt.Fprintln(cmd.OutOrStdout(), "dunestand", Version, runtime.Version())
 		}}
--- /dev/null
+++ b/cmd/dunestand/main_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func execute(args ...string) (string, error) {
+	var out bytes.Buffer
+	c := command()
+	c.SetArgs(args)
+	c.SetOut(&out)
+	c.SetErr(&out)
+	return out.String(), c.Execute()
+}
+
+// Bad input at the command line is told in one line and ends with status 2.
+func TestBadInput(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	broken, badPolicy := write("broken.json", `{"node_name": 7}`), write("bad.policy", "rank = 1 +\n")
+	for _, args := range [][]string{
+		{}, {"--config", filepath.Join(dir, "none.json")}, {"--config", broken}, {"check", broken}, {"check"}, {"check", "a", "b"},
+		{"policy"}, {"policy", "check"}, {"policy", "check", badPolicy}, {"policy", "check", filepath.Join(dir, "none")},
+		{"--colour"}, {"frobnicate"}, {"version", "x"},
+	} {
+		_, err := execute(args...)
+		var bad badInput
+		if !errors.As(err, &bad) {
+			t.Errorf("%v: %v is not bad input", args, err)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: %q is not one line", args, err)
+		}
+	}
+	if _, err := execute("policy", "check", write("good.policy", "rank = waited_s * -1\n")); err != nil {
+		t.Errorf("a good policy: %v", err)
+	}
+	if _, err := execute("version"); err != nil {
+		t.Errorf("version: %v", err)
+	}
+}
--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -143,8 +143,10 @@
 	}
 	lag := units.Seconds(t.Settings.Fleet.Cloud.ListLagS)
 	for _, m := range t.ledger.Machines {
-		if !m.Seen && !present[m.ID] && now-m.Rented > 4*lag+20*units.Second {
-			t.ledger.Remove(m, now) // taken or deleted before it was up
+		// Taken or deleted before it was up. That a machine is not listed proves
+		// nothing about one that may hold tasks: its lease decides.
+		if !m.Seen && !present[m.ID] && now-m.Rented > 4*lag+20*units.Second && !t.ledger.Doubtful(m.ID) {
+			t.ledger.Remove(m, now)
 		}
 	}
 	for id, at := range t.tombs {
@@ -245,7 +247,7 @@
 		}
 	}
 	t.unreached = max(t.unreached, t.Unreached())
-	if now-t.claimedAt > searchStart+t.Settings.Fleet.Workers.Report().Share(5, 4)+searchNode*units.Micros(t.unreached) {
+	if now-t.claimedAt > searchStart+report.Share(5, 4)+searchNode*units.Micros(t.unreached) {
 		for id := range t.doubtful() {
 			if m := t.ledger.Machines[id]; m == nil || !m.Seen {
 				silent[id] = true
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -331,11 +331,14 @@
 		jitter := units.Micros(f.random.Int64N(int64(100 * units.Millisecond)))
 		return max(20*units.Millisecond, min(f.timing.Poll, left)) + jitter
 	}
-	// No other node can do better with a record that is this node's own, or
-	// that nobody has written yet.
-	fresh := version == 0 || rec.Holder == f.node
-	if !fresh && !f.Connected() && now-since < 3*f.timing.Length {
-		return f.timing.Poll
+	// A node that hears nobody leaves the lease to the others for a while: it
+	// may be cut off, and could do nothing with it.
+	patience := 3 * f.timing.Length
+	if rec.Holder == f.node {
+		patience = f.timing.Length
+	}
+	if version != 0 && !f.Connected() && now-since < patience {
+		return 100 * units.Millisecond
 	}
 	return f.claim(ctx, rec, version)
 }
--- a/internal/coordination/lease_test.go
+++ b/internal/coordination/lease_test.go
@@ -161,3 +161,26 @@
 		t.Fatalf("record %+v, %v: not given up", rec, err)
 	}
 }
+
+// A node that was cut off, ended, and came back still cut off must not take its
+// own lease again at once: it would hold it without hearing a worker.
+func TestUnconnectedNodeWaits(t *testing.T) {
+	state := standin.NewState()
+	server := httptest.NewServer(state)
+	defer server.Close()
+	truth := units.Second
+	first := newLeaseNode("a", server, &driftingClock{truth: &truth}, 1)
+	first.follow(t.Context())
+	again := newLeaseNode("a", server, &driftingClock{truth: &truth}, 2)
+	connected := false
+	again.Connected = func() bool { return connected }
+	again.follow(t.Context())
+	if again.isHolding() {
+		t.Fatal("claimed while it hears nobody")
+	}
+	connected = true
+	again.follow(t.Context())
+	if !again.isHolding() || again.Term() != 2 {
+		t.Fatal("not claimed though it hears others")
+	}
+}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -54,13 +54,18 @@
 // anything that the same cut may hold up, such as a call to the cloud.
 func (t *Term) checkContact(now units.Micros) {
 	quiet := t.Settings.Fleet.Workers.Report().Share(3, 2) + 1200*units.Millisecond
-	last, known := t.claimedAt+2*units.Second, 0
+	// Before the first report the workers have to find this node. Whom to
+	// expect, the records say.
+	last, known := t.claimedAt+4*units.Second, 0
 	for _, m := range t.ledger.Machines {
 		if m.Seen && !m.Releasing {
 			known++
 			last = max(last, m.LastAnswered)
 		}
 	}
+	if known == 0 {
+		known = len(t.doubtful())
+	}
 	if t.ready && known >= 2 && now-last > quiet && now-last < 3*quiet {
 		t.Log.Info("no machine reports; the lease is given up", "machines", known, "silent_ms", (now-last)/units.Millisecond)
 		t.Lease.Resign()
