--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -24,6 +24,7 @@
 	server     *transport.Server
 	term       atomic.Pointer[Term]
 	lastWorker atomic.Int64 // steady time of the last worker's report
+	lastUseful atomic.Int64 // steady time when it last led or reached the leader
 }
 
 // socketsKept are left for links, the state service and the cloud.
@@ -42,6 +43,7 @@
 	}
 	c.deps.Unreached = c.peers.Unreached
 	c.lastWorker.Store(-1 << 50)
+	c.lastUseful.Store(-1 << 50)
 	lease.Connected = func() bool {
 		return len(s.Others) == 0 || c.peers.ReachesAny() || clock.Steady()-units.Micros(c.lastWorker.Load()) < linkFresh
 	}
@@ -118,9 +120,16 @@
 	})
 }
 
-// health: a node is of use while it leads or reaches the leader.
+// health: a node is of use while it leads or reaches the leader, and for a
+// while after. A change of leader takes a few seconds; were every node to call
+// itself unhealthy meanwhile, the load balancer would keep them all out for
+// longer than that, and longer each time.
 func (c *Controller) health() transport.Response {
+	now := c.deps.Clock.Steady()
 	if t := c.leading(); t != nil && t.Ready() || c.peers.Reaches(c.deps.Lease.Leader()) {
+		c.lastUseful.Store(int64(now))
+	}
+	if now-units.Micros(c.lastUseful.Load()) <= 2*c.deps.Lease.timing.Length+4*units.Second {
 		return transport.Response{Status: http.StatusOK}
 	}
 	return unavailable("no leader in reach")
