--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -168,3 +168,18 @@
 		}
 	})
 }
+
+func BenchmarkParseReport(b *testing.B) {
+	bolts := make([]any, 16)
+	for i := range bolts {
+		bolts[i] = map[string]any{"bolt": TaskName("j-000412", i), "try": uint64(1)<<32 + uint64(i), "stage": "running"}
+	}
+	body := Encode(map[string]any{"dune": "i-000231", "endpoint": "10.1.0.232:9000", "loom": "g8", "yard": "a", "borrowed": true,
+		"shift": 1, "tally": 88, "baton": 41, "recall_s": nil, "bolts": bolts})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseReport(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
