Read frames no further than their end

Cause, found by fuzzing: the generated code cuts the body out of the frame's slice, which may reach up to the slice's capacity; a frame of 64 bytes that declared more was given 6.5 MB of what lay behind it. Regression test added; it fails without the change.

--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -60,6 +60,9 @@
 			f, err = Frame{}, fmt.Errorf("malformed frame: %v", r)
 		}
 	}()
+	// A slice may be cut anew up to its capacity: without this, a frame that
+	// declares too long a body would be given whatever lies behind it in memory.
+	data = data[:len(data):len(data)]
 	w := wire.GetRootAsFrame(data, 0)
 	f = Frame{ID: w.Id(), Kind: w.Kind(), Job: string(w.Uid()), Body: append([]byte(nil), w.BodyBytes()...),
 		Status: int(w.Status()), RetryAfter: int(w.RetryAfter())}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -136,6 +136,22 @@
 	})
 }
 
+// A body that is declared longer than its frame must not be read from what
+// lies behind the frame in memory (found by FuzzFrames).
+func TestFramesAreNotReadBeyondTheirEnd(t *testing.T) {
+	frame := EncodeFrame(Frame{ID: 1, Kind: FramePoll, Job: "j-000412", Body: []byte("12345678")})
+	at := bytes.Index(frame, append([]byte{8, 0, 0, 0}, "12345678"...))
+	if at < 0 {
+		t.Fatal("no body in the frame")
+	}
+	longer := make([]byte, len(frame), 1<<16)
+	copy(longer, frame)
+	longer[at+1] = 0x20 // 8 KiB more
+	if f, err := DecodeFrame(longer); err == nil {
+		t.Fatalf("read a body of %d bytes from a frame of %d", len(f.Body), len(frame))
+	}
+}
+
 func FuzzFrames(f *testing.F) {
 	f.Add(EncodeFrame(Frame{ID: 3, Kind: FramePoll, Job: "j-000412"}))
 	f.Add([]byte{0xff, 0xff, 0xff, 0x7f, 0, 0, 0, 0})
