--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -277,3 +277,44 @@
 		t.Fatalf("left on the machine: %v", m.Attempts)
 	}
 }
+
+// A completion stays with its worker until it is durable: a later leader must
+// be able to learn of it, or the task would run once more.
+func TestCompletionsAreForgottenOnlyOnceDurable(t *testing.T) {
+	clock := &manualClock{now: units.Second}
+	term := testTerm(2, clock)
+	term.install(nil, modelCatalog)
+	l := term.ledger
+	j := l.NewJob(*modelSpec("j-000001"), clock.now, clock.now)
+	save := func() {
+		l.Applied(l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, clock.now), 1)
+	}
+	save()
+	m := l.Machine("i-000001", "m", "a", true, clock.now)
+	a := l.Assign(j, m, 7, clock.now)
+	a.Stage = bookkeeping.Running
+	j.RetryAt = 1 << 60 // nothing else starts
+	seq := uint64(0)
+	forgotten := func() bool {
+		seq++
+		r := &protocol.Report{Machine: m.ID, Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 2, Tasks: []protocol.TaskReport{
+			{Job: "j-000001", Index: a.Index, Attempt: 7, Stage: protocol.TaskExited, Cause: protocol.CauseDone}}}
+		answer, ok := term.Report(t.Context(), r)
+		if !ok {
+			t.Fatal("report refused")
+		}
+		for _, c := range answer.Commands {
+			if c.Verb == protocol.Forget {
+				return true
+			}
+		}
+		return false
+	}
+	if forgotten() || forgotten() {
+		t.Fatal("forgotten before it was saved")
+	}
+	save()
+	if !forgotten() {
+		t.Fatal("not forgotten after it was saved")
+	}
+}
