Make rounds cheap and plan for the reporting machine between them

A profile showed the room for names being counted anew for each job and machine, all machines being searched for each placement, and victims being listed for jobs that may stop nothing.

Names have room by the settings and a running count; a job's companions are found in one pass; victims are listed only when room has to be made; between rounds the machine that reports is planned for alone, in the order of the last round.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -62,6 +62,8 @@
 	retry        []int
 	cursor       int
 	machines     map[string]bool // named in the record in the making; true: durably
+	names        int             // bytes that these names take in the record
+	nameRoom     int             // and may take
 	stored       bool            // a record exists in the state service
 	version      uint64
 	saving       bool
@@ -166,6 +168,26 @@
 	return true
 }
 
+// name adds a machine to the record in the making, and tells whether it was
+// missing there.
+func (j *Job) name(machine string) bool {
+	if _, named := j.machines[machine]; named {
+		return false
+	}
+	j.machines[machine] = false
+	j.names += nameSize(machine)
+	return true
+}
+
+// CanName tells whether the job's record has room to name the machine.
+func (j *Job) CanName(machine string) bool {
+	if j.names+nameSize(machine) <= j.nameRoom {
+		return true
+	}
+	_, named := j.machines[machine]
+	return named
+}
+
 // MayStartOn tells whether the record durably names the machine, so that a
 // later leader would know to look for the job's tasks there.
 func (j *Job) MayStartOn(machine string) bool { return j.stored && j.machines[machine] }
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -1,7 +1,9 @@
 package bookkeeping
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 
 	"dunestand/internal/config"
@@ -15,6 +17,7 @@
 	Guarantee units.Resources
 	Limit     units.Resources
 	Used      units.Resources
+	Freeing   units.Resources // part of Used, held by attempts that were told to stop
 }
 
 // Machine is a machine that reported, is listed, or was rented.
@@ -26,6 +29,7 @@
 	Size     units.Resources
 	Cache    units.Amount
 	Used     units.Resources
+	Freeing  units.Resources // part of Used, held by attempts that were told to stop
 	Attempts map[AttemptKey]*Attempt
 	Ended    int // ended tasks in its last report
 
@@ -98,11 +102,13 @@
 	Teams    map[string]*Team
 	Types    map[string]protocol.MachineType
 	classes  map[string]float64 // run time against the owners' estimates
+	ordered  []*Machine         // by their names
+	value    int                // the most bytes in a record
 }
 
-// NewLedger makes an empty ledger.
-func NewLedger(teams []config.Team) *Ledger {
-	l := &Ledger{Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
+// NewLedger makes an empty ledger for records of at most value bytes.
+func NewLedger(teams []config.Team, value int) *Ledger {
+	l := &Ledger{value: value, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
 		Types: map[string]protocol.MachineType{}, classes: map[string]float64{}}
 	for _, t := range teams {
 		limit := func(f float64) units.Amount { return units.AmountOf(f) }
@@ -144,16 +150,32 @@
 		m = &Machine{ID: id, Type: typ, Zone: zone, Spot: spot, Rented: now, IdleSince: now,
 			Attempts: map[AttemptKey]*Attempt{}, errorJobs: map[string]bool{}}
 		l.Machines[id] = m
+		i, _ := l.find(id)
+		l.ordered = slices.Insert(l.ordered, i, m)
 		l.size(m)
 	}
 	return m
 }
 
+func (l *Ledger) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(l.ordered, id, func(m *Machine, id string) int { return cmp.Compare(m.ID, id) })
+}
+
+// Ordered lists the machines in the order of their names. It is the ledger's
+// own list.
+func (l *Ledger) Ordered() []*Machine { return l.ordered }
+
+// Add takes in a job read from its record.
+func (l *Ledger) Add(j *Job) {
+	j.nameRoom = nameRoom(j.Spec, l.value)
+	l.Jobs[j.Spec.ID] = j
+}
+
 // NewJob adds a submitted job, which is not accepted until it is saved.
 func (l *Ledger) NewJob(spec protocol.JobSpec, wall, now units.Micros) *Job {
 	j := newJob(spec, wall)
 	j.Since = now
-	l.Jobs[spec.ID] = j
+	l.Add(j)
 	j.Changed(now, true)
 	return j
 }
@@ -165,9 +187,7 @@
 		return nil
 	}
 	if !j.machines[m.ID] {
-		if _, named := j.machines[m.ID]; !named {
-			j.machines[m.ID] = false
-		}
+		j.name(m.ID)
 		j.Changed(now, true)
 	}
 	return l.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Assigned, Assigned: now})
@@ -176,8 +196,7 @@
 // Adopt takes in an attempt that a machine reported and that this leader did
 // not start.
 func (l *Ledger) Adopt(j *Job, i int, number uint64, m *Machine, now units.Micros) *Attempt {
-	if _, named := j.machines[m.ID]; !named {
-		j.machines[m.ID] = false
+	if j.name(m.ID) {
 		j.Changed(now, false)
 	}
 	return l.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Fetching, Assigned: now})
@@ -195,6 +214,25 @@
 	if t := l.Teams[a.Job.Spec.Team]; t != nil {
 		t.Used = t.Used.Plus(a.Job.Spec.Need, n)
 	}
+	if a.Stop {
+		l.freeing(a, n)
+	}
+}
+
+func (l *Ledger) freeing(a *Attempt, n int) {
+	a.Machine.Freeing = a.Machine.Freeing.Plus(a.Job.Spec.Need, n)
+	if t := l.Teams[a.Job.Spec.Team]; t != nil {
+		t.Freeing = t.Freeing.Plus(a.Job.Spec.Need, n)
+	}
+}
+
+// Stop notes that an attempt is to be stopped, with some time to save.
+func (l *Ledger) Stop(a *Attempt, grace units.Micros) {
+	if !a.Stop {
+		a.Stop = true
+		l.freeing(a, 1)
+	}
+	a.Grace = grace
 }
 
 // Gone notes that an attempt is certainly not on its machine any more. Unless
@@ -305,6 +343,9 @@
 	l.Emptied(m, now)
 	l.Settle(m, now)
 	delete(l.Machines, m.ID)
+	if i, ok := l.find(m.ID); ok {
+		l.ordered = slices.Delete(l.ordered, i, i+1)
+	}
 }
 
 // Emptied notes that nothing that was on the machine is there any more.
@@ -352,18 +393,6 @@
 	return false
 }
 
-// UsedIn is what a team may be using: what is known to be there, and what
-// unsettled machines may hold at worst.
-func (l *Ledger) UsedIn(t *Team) units.Resources {
-	used := t.Used
-	for _, j := range l.Jobs {
-		if j.Spec.Team == t.Name && len(j.Doubts) > 0 {
-			used = used.Plus(j.Spec.Need, j.Pending())
-		}
-	}
-	return used
-}
-
 // HoldsImage notes that a machine has a job's image.
 func (l *Ledger) HoldsImage(m *Machine, j *Job) {
 	if j.Spec.ImageSize > 0 {
@@ -376,3 +405,12 @@
 
 // Sorted lists the machine's attempts in a fixed order.
 func (m *Machine) Sorted() []*Attempt { return sortedAttempts(m) }
+
+// InDoubt is what the job may be using on machines nobody has told us of, at
+// worst.
+func (j *Job) InDoubt() int {
+	if len(j.Doubts) == 0 {
+		return 0
+	}
+	return j.Pending()
+}
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -200,6 +200,7 @@
 		j.version, j.stored = row.Version, true
 		j.changed = j.Cancelled // its end may be due
 		for _, m := range r.Machines {
+			j.name(m)
 			j.machines[m] = true
 			j.Doubts[m] = true
 		}
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -69,7 +69,7 @@
 // reads is what was saved, and no record or transaction is over its limit.
 func TestSavedJobsAreRestored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := NewLedger([]config.Team{{Name: "team"}})
+		l := NewLedger([]config.Team{{Name: "team"}}, 8<<10)
 		s := &store{items: map[string]protocol.Item{}}
 		heads := make([]uint64, Buckets)
 		limits := SaveLimits{Ops: 12, Tasks: true}
@@ -144,7 +144,7 @@
 // A machine stays named as long as it may hold a task, and a start may follow
 // only once the name is durable.
 func TestMachinesAreNamedBeforeStarts(t *testing.T) {
-	l := NewLedger(nil)
+	l := NewLedger(nil, 8<<10)
 	heads := make([]uint64, Buckets)
 	j := l.NewJob(protocol.JobSpec{ID: "j-000001", Tasks: 2}, 0, 0)
 	build := func() *Save { return l.BuildSave("1-1", heads, SaveLimits{Ops: 12, Tasks: true}, 0) }
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -36,30 +36,30 @@
 // than CBOR.
 const maxSaveBytes = 36 << 10
 
-// Room in a record, in bytes of JSON: for the done set's first page, and for
-// the names of machines.
-const (
-	donePageRoom = pageTasks/8*4/3 + 64
-	machinesRoom = 1000
-)
+// maxRecordBytes bounds a record whatever the state service would take: with
+// the pages of the largest array it must fit into a transaction.
+const maxRecordBytes = 24 << 10
 
-// RecordFits tells whether a job's record will always fit into a value of the
-// state service, however far the job gets.
-func RecordFits(spec protocol.JobSpec, valueBytes int) bool {
+// leastNames is the room for names, in bytes of JSON, without which a job is
+// not accepted.
+const leastNames = 1000
+
+// nameRoom gives the bytes of JSON that are left for the names of machines in
+// a job's record, however far the job gets. A large array spreads over most of
+// the fleet, so all that a value may hold is used.
+func nameRoom(spec protocol.JobSpec, valueBytes int) int {
 	j := &Job{Spec: spec, done: bitset{}}
-	return jsonSize(j.record("00000000000000000000-00000000000000000000", nil))+donePageRoom+machinesRoom <= valueBytes
+	donePage := (min(spec.Tasks, pageTasks)/8+1)*4/3 + 64
+	return min(valueBytes, maxRecordBytes) - jsonSize(j.record("00000000000000000000-00000000000000000000", nil)) - donePage
 }
 
-// CanName tells whether the job's record has room to name the machine.
-func (j *Job) CanName(machine string) bool {
-	if _, named := j.machines[machine]; named {
-		return true
-	}
-	n := len(machine)
-	for m := range j.machines {
-		n += len(m) + 3
-	}
-	return n < machinesRoom
+// nameSize is what a name takes, with its quotes and comma.
+func nameSize(machine string) int { return len(machine) + 3 }
+
+// RecordFits tells whether a job's record will always fit into a value of the
+// state service, however far the job gets.
+func RecordFits(spec protocol.JobSpec, valueBytes int) bool {
+	return nameRoom(spec, valueBytes) >= leastNames
 }
 
 // end gives the final record of a job that is over: complete, or cancelled
@@ -165,9 +165,11 @@
 func (j *Job) begin(part savePart) {
 	j.saving, j.changed, j.urgent = true, false, false
 	if part.final == nil {
-		keep := map[string]bool{}
+		keep := make(map[string]bool, len(part.machines))
+		j.names = 0
 		for _, m := range part.machines {
 			keep[m] = j.machines[m]
+			j.names += nameSize(m)
 		}
 		j.machines = keep
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -89,6 +89,9 @@
 	TxnOps   int     `json:"txn_ops"`
 }
 
+// ValueBytes is the largest value.
+func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
+
 // Cloud holds the limits of the cloud.
 type Cloud struct {
 	RPS      float64 `json:"rps"`
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -9,17 +9,18 @@
 	"dunestand/internal/units"
 )
 
-// busyTerm is a leader under a burst: 32 machines with 16 tasks each, and 120
-// jobs of up to 586 tasks that wait.
-func busyTerm() (*Term, []*protocol.Report) {
+// busyTerm is a leader under a burst: full machines with 16 tasks each, and
+// 300 jobs of up to 3,000 tasks that wait.
+func busyTerm(machines int) (*Term, []*protocol.Report) {
 	clock := &manualClock{now: units.Second}
 	term := testTerm(1, clock)
 	types := []protocol.MachineType{{Name: "m", CPUs: 32, MemoryGB: 64, CacheGB: 50, Price: 1, SpotPrice: 1, BootS: 5, Zones: []string{"a"}}}
 	term.install(nil, protocol.Catalog{Types: types})
-	term.ledger.Teams["team"].Limit = cpus(32 * 16 * 2)
-	for i := range 120 {
+	term.ledger.Teams["team"].Limit = cpus(32 * machines * 2)
+	const jobs = 300
+	for i := range jobs {
 		spec := *modelSpec(fmt.Sprintf("j-%06d", i))
-		spec.Tasks, spec.Need, spec.Priority = 1+i*586/119, cpus(2), protocol.Priority(i%3)
+		spec.Tasks, spec.Need, spec.Priority = 1+i*3000/jobs, cpus(2), protocol.Priority(i%3)
 		term.ledger.NewJob(spec, clock.now, clock.now)
 	}
 	for {
@@ -29,7 +30,7 @@
 		}
 		term.ledger.Applied(s, 1)
 	}
-	reports := make([]*protocol.Report, 32)
+	reports := make([]*protocol.Report, machines)
 	for seq := uint64(1); seq <= 2; seq++ {
 		for i := range reports {
 			r := &protocol.Report{Machine: fmt.Sprintf("i-%06d", i), Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}
@@ -40,45 +41,95 @@
 			}
 			reports[i] = r
 		}
-		for range 20 {
+		for range 1 + machines*16/batchBase {
 			term.round(clock.now, nil)
 		}
 	}
 	return term, reports
 }
 
-func BenchmarkReport(b *testing.B) {
-	term, reports := busyTerm()
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		r := reports[i%len(reports)]
-		r.Seq += 10
-		m := term.observe(r, units.Second)
-		_ = term.commands(m, r, units.Second)
+// perFleet runs a benchmark on fleets of growing size.
+func perFleet(b *testing.B, run func(b *testing.B, term *Term, reports []*protocol.Report)) {
+	for _, machines := range []int{50, 200, 800} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			term, reports := busyTerm(machines)
+			b.ReportAllocs()
+			run(b, term, reports)
+		})
 	}
 }
 
+// A report that shows nothing new, compared with the ledger and answered.
+func BenchmarkReport(b *testing.B) {
+	perFleet(b, func(b *testing.B, term *Term, reports []*protocol.Report) {
+		for i := 0; b.Loop(); i++ {
+			r := reports[i%len(reports)]
+			r.Seq += 10
+			m := term.observe(r, units.Second)
+			_ = term.commands(m, r, units.Second)
+		}
+	})
+}
+
+// The end of a task is reported and the next one is placed in its stead.
+func BenchmarkFill(b *testing.B) {
+	perFleet(b, func(b *testing.B, term *Term, reports []*protocol.Report) {
+		for i := 0; b.Loop(); i++ {
+			m := term.ledger.Machines[reports[i%len(reports)].Machine]
+			term.ledger.Gone(m.Sorted()[0], units.Second)
+			term.fill(m, units.Second)
+		}
+	})
+}
+
 func BenchmarkRound(b *testing.B) {
-	term, _ := busyTerm()
-	b.ReportAllocs()
-	for b.Loop() {
-		term.round(units.Second, nil)
+	perFleet(b, func(b *testing.B, term *Term, _ []*protocol.Report) {
+		for b.Loop() {
+			term.round(units.Second, nil)
+		}
+	})
+}
+
+// saveAll saves every job and gives the records.
+func saveAll(term *Term) []protocol.Item {
+	var rows []protocol.Item
+	for _, j := range term.ledger.Jobs {
+		j.Changed(units.Second, true)
+	}
+	for {
+		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, units.Second)
+		if s == nil {
+			return rows
+		}
+		for _, c := range s.Txn.Then {
+			rows = append(rows, protocol.Item{Key: c.Set, Value: c.Value, Version: 1})
+		}
+		term.ledger.Applied(s, 1)
 	}
 }
 
 func BenchmarkSave(b *testing.B) {
-	term, _ := busyTerm()
-	b.ReportAllocs()
-	for b.Loop() {
-		for _, j := range term.ledger.Jobs {
-			j.Changed(units.Second, true)
+	perFleet(b, func(b *testing.B, term *Term, _ []*protocol.Report) {
+		for b.Loop() {
+			saveAll(term)
 		}
-		for {
-			s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, units.Second)
-			if s == nil {
-				break
+	})
+}
+
+// A restore reads every live job's record, and then each machine's report.
+func BenchmarkRestore(b *testing.B) {
+	perFleet(b, func(b *testing.B, term *Term, reports []*protocol.Report) {
+		rows := saveAll(term)
+		for b.Loop() {
+			later := testTerm(2, &manualClock{now: units.Second})
+			jobs, err := bookkeeping.ParseJobs(rows)
+			if err != nil {
+				b.Fatal(err)
+			}
+			later.install(jobs, protocol.Catalog{})
+			for _, r := range reports {
+				later.observe(r, units.Second)
 			}
-			term.ledger.Applied(s, 1)
 		}
-	}
+	})
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -21,10 +21,12 @@
 type TeamView struct {
 	Guarantee, Limit, Used units.Resources
 	Freeing                units.Resources // part of Used, held by tasks that were told to stop
+	Closed                 bool            // a job that goes first finds no room in the limit
 }
 
 // MachineView is a machine.
 type MachineView struct {
+	ID         string
 	Type, Zone string
 	Spot       bool
 	Accepts    bool // may be given work
@@ -33,7 +35,9 @@
 	Free       units.Resources
 	Freeing    units.Resources // held by tasks that were told to stop
 	Images     func(name string) bool
-	Victims    []Victim
+	// Victims lists the tasks that could be stopped; nil if none may be. It is
+	// asked once, and only if room has to be made.
+	Victims func() []Victim
 }
 
 // Victim is a task that could be stopped to make room.
@@ -58,7 +62,7 @@
 	Live       int            // tasks that may be on machines
 	LiveIn     map[string]int // the same by zone, for jobs that care
 	LiveOn     map[int]int    // and by machine, for services
-	Avoid      func(machine int) bool
+	Avoid      func(machine string) bool
 }
 
 // Starts is a number of a job's tasks to be started on a machine.
@@ -71,16 +75,33 @@
 type Wanted struct {
 	Starts []Starts
 	Stops  []Preemption
+	Cut    bool // the batch ended the round: more might have been started
 }
 
 // planner is a round in the making. It changes its copies of the views.
 type planner struct {
-	s      *Snapshot
-	out    Wanted
-	batch  int
-	taken  map[int]bool      // victims chosen
-	leave  []units.Resources // what each team has left once its victims are gone
-	closed []bool            // teams whose limit leaves no room for a job that goes first
+	s     *Snapshot
+	out   Wanted
+	batch int
+	taken map[int]bool      // victims chosen
+	leave []units.Resources // what each team has left once its victims are gone
+
+	companions []companion
+	victims    [][]Victim        // by machine, once asked
+	ofTeam     map[int][]located // by team, once asked
+	freeing    bool              // some machine has room coming
+}
+
+// located is a victim and its machine.
+type located struct {
+	machine int
+	victim  Victim
+}
+
+// companion is a machine that has room for a job; the largest key goes first.
+type companion struct {
+	machine int
+	key     [6]int64
 }
 
 // Plan decides what to start and what to stop. The urgent priorities go first.
@@ -88,10 +109,13 @@
 // whatever their priority; then jobs inside their team's guarantee, then by
 // priority, then by rank.
 func Plan(s *Snapshot) Wanted {
-	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams)), closed: make([]bool, len(s.Teams))}
+	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams))}
 	for i := range s.Teams {
 		p.leave[i] = s.Teams[i].Used
 	}
+	for k := range s.Machines {
+		p.freeing = p.freeing || s.Machines[k].Freeing != units.Resources{}
+	}
 	order := make([]int, len(s.Jobs))
 	for i := range order {
 		order[i] = i
@@ -99,10 +123,11 @@
 	slices.SortFunc(order, func(a, b int) int { return compareJobs(&s.Jobs[a], &s.Jobs[b]) })
 	for _, i := range order {
 		if p.batch <= 0 {
+			p.out.Cut = true
 			break
 		}
 		j := &s.Jobs[i]
-		if p.closed[j.Team] {
+		if s.Teams[j.Team].Closed {
 			continue
 		}
 		if j.Spec.Shape == protocol.Gang {
@@ -113,7 +138,7 @@
 		if j.Pending > 0 {
 			// Jobs of small tasks must not take what is left of the limit
 			// bit by bit, or a larger task would wait for ever.
-			p.closed[j.Team] = p.headroom(j) == 0
+			s.Teams[j.Team].Closed = p.headroom(j) == 0
 			p.preempt(i, j)
 		}
 	}
@@ -180,7 +205,7 @@
 // machine gets no urgent work.
 func (p *planner) usable(i int, j *JobView) bool {
 	m := &p.s.Machines[i]
-	return m.Accepts && !(m.Slow && j.Spec.Priority >= protocol.High) && allowed(j.Spec, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 && !j.Avoid(i)
+	return m.Accepts && !(m.Slow && j.Spec.Priority >= protocol.High) && allowed(j.Spec, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 && !j.Avoid(m.ID)
 }
 
 // place starts as many of the job's tasks as there is room for. The companion
@@ -188,43 +213,57 @@
 // (DESIGN); among several that hold it, the one with most room. A slow
 // machine comes last.
 func (p *planner) place(i int, j *JobView) {
-	for j.Pending > 0 && p.batch > 0 {
-		n := min(j.Pending, p.batch, p.headroom(j))
-		if n <= 0 {
+	oneByOne := j.Spec.Shape == protocol.Service
+	for again := true; again; {
+		again = false
+		if min(j.Pending, p.batch, p.headroom(j)) <= 0 {
 			return
 		}
-		best, bestKey := -1, [6]int64{}
-		for k := range p.s.Machines {
-			m := &p.s.Machines[k]
-			if !p.usable(k, j) || m.Free.Fits(j.Spec.Need) == 0 {
+		for _, c := range p.findCompanions(j) {
+			m := &p.s.Machines[c.machine]
+			n := min(j.Pending, p.batch, p.headroom(j), m.Free.Fits(j.Spec.Need), zoneRoom(j, m.Zone))
+			if n <= 0 {
 				continue
 			}
-			key := [6]int64{5: int64(m.Free.CPU)}
-			if j.Spec.Shape == protocol.Service {
-				// Replicas go to different zones, then to different machines.
-				key[0], key[1] = -int64(j.LiveIn[m.Zone]), -int64(j.LiveOn[k])
-				n = 1
-			}
-			if !m.Slow {
-				key[2] = 1
-			}
-			if m.Images(j.Spec.Image) {
-				key[3] = 1
-			}
-			if m.Answering {
-				key[4] = 1
-			}
-			if best < 0 || slices.Compare(key[:], bestKey[:]) > 0 {
-				best, bestKey = k, key
+			if oneByOne { // each start changes the order of the rest
+				p.start(i, j, c.machine, 1)
+				again = true
+				break
 			}
+			p.start(i, j, c.machine, n)
 		}
-		if best < 0 {
-			return
+	}
+}
+
+// findCompanions lists the machines that have room for the job, the best
+// first.
+func (p *planner) findCompanions(j *JobView) []companion {
+	p.companions = p.companions[:0]
+	for k := range p.s.Machines {
+		m := &p.s.Machines[k]
+		if m.Free.Fits(j.Spec.Need) == 0 || !p.usable(k, j) {
+			continue
+		}
+		c := companion{machine: k, key: [6]int64{5: int64(m.Free.CPU)}}
+		if j.Spec.Shape == protocol.Service {
+			// Replicas go to different zones, then to different machines.
+			c.key[0], c.key[1] = -int64(j.LiveIn[m.Zone]), -int64(j.LiveOn[k])
+		}
+		if !m.Slow {
+			c.key[2] = 1
 		}
-		m := &p.s.Machines[best]
-		n = min(n, m.Free.Fits(j.Spec.Need), zoneRoom(j, m.Zone))
-		p.start(i, j, best, n)
+		if m.Images(j.Spec.Image) {
+			c.key[3] = 1
+		}
+		if m.Answering {
+			c.key[4] = 1
+		}
+		p.companions = append(p.companions, c)
 	}
+	slices.SortFunc(p.companions, func(a, b companion) int {
+		return cmp.Or(-slices.Compare(a.key[:], b.key[:]), cmp.Compare(a.machine, b.machine))
+	})
+	return p.companions
 }
 
 // placeGang starts all of a gang's tasks or none. While some of its tasks may
@@ -252,7 +291,9 @@
 	t := &p.s.Teams[j.Team]
 	t.Used = t.Used.Plus(j.Spec.Need, n)
 	p.leave[j.Team] = p.leave[j.Team].Plus(j.Spec.Need, n)
-	j.LiveIn[m.Zone] += n
+	if j.LiveIn != nil {
+		j.LiveIn[m.Zone] += n
+	}
 	if j.LiveOn != nil {
 		j.LiveOn[machine] += n
 	}
@@ -266,6 +307,10 @@
 // machines. Room that stopped tasks are about to leave is reckoned with first,
 // so that no round stops again for the same need.
 func (p *planner) preempt(i int, j *JobView) {
+	mayStop := p.mayStopAny(j)
+	if !mayStop && !p.freeing {
+		return
+	}
 	want := p.preemptInTeam(i, j)
 	p.s.Teams[j.Team].Freeing = p.s.Teams[j.Team].Freeing.Plus(j.Spec.Need, -want)
 	for k := range p.s.Machines {
@@ -273,25 +318,54 @@
 			return
 		}
 		m := &p.s.Machines[k]
-		if !p.usable(k, j) {
-			continue
-		}
 		coming := min(m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need), want)
-		if coming > 0 {
+		if coming > 0 && p.usable(k, j) {
 			p.reserve(m, j.Spec.Need, coming)
 			want -= coming
 		}
 	}
 	for k := range p.s.Machines {
 		m := &p.s.Machines[k]
-		if want <= 0 {
+		if want <= 0 || !mayStop {
 			return
 		}
 		if !p.usable(k, j) || m.Slow {
 			continue
 		}
-		want -= p.preemptOn(m, i, j, want)
+		want -= p.preemptOn(k, i, j, want)
+	}
+}
+
+// mayStopAny tells whether any task at all could be stopped for the job.
+func (p *planner) mayStopAny(j *JobView) bool {
+	if j.Spec.Priority >= protocol.High {
+		return true
+	}
+	if !j.Guaranteed {
+		return false
+	}
+	for i := range p.s.Teams {
+		if g := p.s.Teams[i].Guarantee; i != j.Team && (p.leave[i].CPU > g.CPU || p.leave[i].GPU > g.GPU) {
+			return true
+		}
+	}
+	return false
+}
+
+// victimsOn gives the tasks on a machine that could be stopped, the one to be
+// stopped first first.
+func (p *planner) victimsOn(k int) []Victim {
+	if p.victims == nil {
+		p.victims = make([][]Victim, len(p.s.Machines))
+	}
+	if p.victims[k] == nil {
+		p.victims[k] = []Victim{}
+		if list := p.s.Machines[k].Victims; list != nil {
+			p.victims[k] = append(p.victims[k], list()...)
+			slices.SortFunc(p.victims[k], compareVictims)
+		}
 	}
+	return p.victims[k]
 }
 
 // preemptInTeam stops tasks of the job's own team until its limit has room for
@@ -302,30 +376,32 @@
 	if room() == j.Pending || j.Spec.Priority < protocol.High {
 		return room()
 	}
-	type choice struct {
-		machine *MachineView
-		victim  Victim
-	}
-	var choices []choice
-	for k := range p.s.Machines {
-		m := &p.s.Machines[k]
-		if !p.usable(k, j) {
-			continue
+	for _, c := range p.victimsOf(j.Team) {
+		if c.victim.Priority >= j.Spec.Priority || room() >= j.Pending {
+			break
 		}
-		for _, v := range m.Victims {
-			if v.Team == j.Team && !p.taken[v.Ref] && p.mayStop(j, v) {
-				choices = append(choices, choice{m, v})
-			}
+		if !p.taken[c.victim.Ref] && p.usable(c.machine, j) && p.mayStop(j, c.victim) {
+			p.stop(&p.s.Machines[c.machine], c.victim, i)
 		}
 	}
-	slices.SortFunc(choices, func(a, b choice) int { return compareVictims(a.victim, b.victim) })
-	for _, c := range choices {
-		if room() >= j.Pending {
-			break
+	return room()
+}
+
+// victimsOf gives a team's tasks that could be stopped, the one to be stopped
+// first first.
+func (p *planner) victimsOf(team int) []located {
+	if p.ofTeam == nil {
+		p.ofTeam = map[int][]located{}
+		for k := range p.s.Machines {
+			for _, v := range p.victimsOn(k) {
+				p.ofTeam[v.Team] = append(p.ofTeam[v.Team], located{k, v})
+			}
+		}
+		for _, list := range p.ofTeam {
+			slices.SortFunc(list, func(a, b located) int { return compareVictims(a.victim, b.victim) })
 		}
-		p.stop(c.machine, c.victim, i)
 	}
-	return room()
+	return p.ofTeam[team]
 }
 
 // compareVictims orders victims, the one to be stopped first first.
@@ -339,6 +415,7 @@
 	p.taken[v.Ref] = true
 	p.out.Stops = append(p.out.Stops, Preemption{Victim: v.Ref, For: i})
 	m.Freeing = m.Freeing.Plus(v.Need, 1)
+	p.freeing = true
 	t := &p.s.Teams[v.Team]
 	t.Freeing = t.Freeing.Plus(v.Need, 1)
 	p.leave[v.Team] = p.leave[v.Team].Plus(v.Need, -1)
@@ -351,22 +428,16 @@
 	m.Free = total.Plus(m.Freeing, -1)
 }
 
-func (p *planner) preemptOn(m *MachineView, i int, j *JobView, want int) int {
-	victims := make([]Victim, 0, len(m.Victims))
-	for _, v := range m.Victims {
-		if !p.taken[v.Ref] && p.mayStop(j, v) {
-			victims = append(victims, v)
-		}
-	}
-	slices.SortFunc(victims, compareVictims)
+func (p *planner) preemptOn(k, i int, j *JobView, want int) int {
+	m := &p.s.Machines[k]
 	made := 0
 	room := m.Free.Plus(m.Freeing, 1)
 	var chosen []Victim
-	for _, v := range victims {
+	for _, v := range p.victimsOn(k) {
 		if made >= want {
 			break
 		}
-		if !p.mayStop(j, v) { // an earlier choice may have used up the team's excess
+		if p.taken[v.Ref] || !p.mayStop(j, v) {
 			continue
 		}
 		room = room.Plus(v.Need, 1)
@@ -391,15 +462,14 @@
 // come after the job in the order: else the next round would give it the room
 // again, and the two would go on taking turns.
 func (p *planner) mayStop(j *JobView, v Victim) bool {
-	if compareJobs(j, v.Job) >= 0 {
-		return false
-	}
-	if v.Priority < j.Spec.Priority && j.Spec.Priority >= protocol.High {
-		return true
-	}
-	if !j.Guaranteed || v.Team == j.Team || v.Priority > j.Spec.Priority && v.Priority >= protocol.High {
-		return false
+	if v.Priority >= j.Spec.Priority || j.Spec.Priority < protocol.High {
+		if !j.Guaranteed || v.Team == j.Team || v.Priority > j.Spec.Priority && v.Priority >= protocol.High {
+			return false
+		}
+		g, rest := p.s.Teams[v.Team].Guarantee, p.leave[v.Team].Plus(v.Need, -1)
+		if rest.CPU < g.CPU || rest.GPU < g.GPU {
+			return false
+		}
 	}
-	g, rest := p.s.Teams[v.Team].Guarantee, p.leave[v.Team].Plus(v.Need, -1)
-	return rest.CPU >= g.CPU && rest.GPU >= g.GPU
+	return compareJobs(j, v.Job) < 0
 }
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -31,6 +31,7 @@
 			Freeing: cpus(rapid.IntRange(0, 4).Draw(t, "freeing"))}
 		image := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image")
 		m.Images = func(name string) bool { return name == image }
+		var victims []Victim
 		for range rapid.IntRange(0, 4).Draw(t, "victims") {
 			v := Victim{Ref: ref, Team: rapid.IntRange(0, teams-1).Draw(t, "victim team"),
 				Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "victim priority")),
@@ -40,8 +41,9 @@
 				Rank: float64(rapid.IntRange(0, 3).Draw(t, "victim rank"))}
 			ref++
 			s.Teams[v.Team].Used = s.Teams[v.Team].Used.Plus(v.Need, 1)
-			m.Victims = append(m.Victims, v)
+			victims = append(victims, v)
 		}
+		m.Victims = func() []Victim { return victims }
 		s.Machines = append(s.Machines, m)
 	}
 	for i := range rapid.IntRange(0, 6).Draw(t, "jobs") {
@@ -52,7 +54,7 @@
 			Types: rapid.SampledFrom([][]string{nil, {"small"}}).Draw(t, "types"), Zone: rapid.SampledFrom([]string{"", "a"}).Draw(t, "in zone")}
 		s.Jobs = append(s.Jobs, JobView{Spec: spec, Team: rapid.IntRange(0, teams-1).Draw(t, "team"),
 			Guaranteed: rapid.Bool().Draw(t, "guaranteed"), Rank: float64(rapid.IntRange(0, 3).Draw(t, "rank")),
-			Pending: n, LiveIn: map[string]int{}, Avoid: func(int) bool { return false }})
+			Pending: n, LiveIn: map[string]int{}, Avoid: func(string) bool { return false }})
 	}
 	return s
 }
@@ -146,7 +148,7 @@
 		}
 		stopped[ref] = true
 		for _, m := range s.Machines {
-			for _, v := range m.Victims {
+			for _, v := range m.Victims() {
 				if v.Ref != ref {
 					continue
 				}
@@ -186,7 +188,7 @@
 	s := Snapshot{Batch: 10, Teams: []TeamView{{Limit: cpus(100)}},
 		Machines: []MachineView{{Accepts: true, Free: cpus(16), Images: holds(false)}, {Accepts: true, Free: cpus(2), Images: holds(true)}},
 		Jobs: []JobView{{Spec: &protocol.JobSpec{ID: "j-1", Tasks: 3, Need: cpus(1)}, Pending: 3, LiveIn: map[string]int{},
-			Avoid: func(int) bool { return false }}}}
+			Avoid: func(string) bool { return false }}}}
 	got := Plan(&s).Starts
 	want := []Starts{{Job: 0, Machine: 1, Count: 2}, {Job: 0, Machine: 0, Count: 1}}
 	if !reflect.DeepEqual(got, want) {
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -38,6 +38,8 @@
 	}
 	if t.roundDue(now) {
 		t.round(now, m)
+	} else {
+		t.fill(m, now)
 	}
 	if wait := t.undurable(m); wait != nil {
 		kick(t.kickSave)
@@ -127,7 +129,7 @@
 		if j != nil && task.Cause == protocol.CauseDone && key.Index < j.Spec.Tasks && !j.IsDone(key.Index) {
 			t.ledger.Done(j, key.Index, now)
 			if other := j.Live[key.Index]; other != nil {
-				other.Stop = true
+				t.ledger.Stop(other, 0)
 			}
 		}
 		return
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -151,6 +152,58 @@
 	began := t.Clock.Steady()
 	s, refs := t.snapshot(now, answering)
 	wanted := Plan(&s)
+	t.offered = !wanted.Cut
+	t.carryOut(wanted, refs, now)
+	t.lastRound = t.Clock.Steady()
+	t.roundCost = (7*t.roundCost + (t.lastRound - began)) / 8
+}
+
+// fill plans for one machine between two rounds, in the order of the last one.
+// Every other machine with room was offered then, or when it reported itself,
+// so that this one is the companion whatever image it holds. It costs little
+// next to a round: a machine that reports the end of a task has the next one
+// in the answer, however large the fleet is.
+func (t *Term) fill(m *bookkeeping.Machine, now units.Micros) {
+	if !t.offered || len(t.queue) == 0 || !t.accepts(m, now) {
+		return
+	}
+	s := Snapshot{Batch: batchMost}
+	teams := t.teamViews(&s)
+	s.Machines = []MachineView{t.machineView(m, now, true)}
+	// A few jobs at a time: the first ones mostly take all the room.
+	for queue := t.queue; len(queue) > 0 && s.Machines[0].Free.CPU > 0; {
+		n := min(len(queue), fillJobs)
+		t.fillFrom(queue[:n], m, &s, teams, now)
+		queue = queue[n:]
+	}
+}
+
+const fillJobs = 12
+
+func (t *Term) fillFrom(queue []queued, m *bookkeeping.Machine, s *Snapshot, teams map[string]int, now units.Micros) {
+	s.Jobs = s.Jobs[:0]
+	refs := &snapshotRefs{machines: []*bookkeeping.Machine{m}}
+	for _, q := range queue {
+		j := q.job
+		if s.Machines[0].Free.Fits(j.Spec.Need) == 0 && m.Freeing == (units.Resources{}) || !t.placeable(j, now) {
+			continue
+		}
+		view := q.view
+		view.Pending, view.Live, view.Team = j.Pending(), len(j.Live), teams[j.Spec.Team]
+		t.spread(&view, j)
+		if view.LiveOn != nil {
+			continue // replicas are placed with all machines in view
+		}
+		s.Jobs = append(s.Jobs, view)
+		refs.jobs = append(refs.jobs, j)
+	}
+	if len(s.Jobs) > 0 {
+		t.carryOut(Plan(s), refs, now)
+	}
+}
+
+// carryOut takes a plan over into the ledger.
+func (t *Term) carryOut(wanted Wanted, refs *snapshotRefs, now units.Micros) {
 	gangs := map[int]bool{}
 	for _, w := range wanted.Starts {
 		j, m := refs.jobs[w.Job], refs.machines[w.Machine]
@@ -173,18 +226,22 @@
 	}
 	for _, p := range wanted.Stops {
 		a := refs.victims[p.Victim]
-		a.Stop, a.Grace = true, a.Job.Spec.Save+2*units.Second
+		t.ledger.Stop(a, a.Job.Spec.Save+2*units.Second)
 		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID,
 			"class", a.Job.Spec.Class, "for", refs.jobs[p.For].Spec.ID, "for_class", refs.jobs[p.For].Spec.Class)
 	}
-	t.lastRound = t.Clock.Steady()
-	t.roundCost = (7*t.roundCost + (t.lastRound - began)) / 8
 }
 
 type snapshotRefs struct {
 	jobs     []*bookkeeping.Job
 	machines []*bookkeeping.Machine
-	victims  []*bookkeeping.Attempt
+	victims  []*bookkeeping.Attempt // grows as machines are asked for theirs
+}
+
+// queued is a waiting job as the last round saw it.
+type queued struct {
+	job  *bookkeeping.Job
+	view JobView
 }
 
 // silentAfter is how long a machine may be silent before it is thought to be
@@ -193,18 +250,65 @@
 	return t.Settings.Fleet.Workers.Report().Share(5, 2) + 1500*units.Millisecond
 }
 
-func (t *Term) snapshot(now units.Micros, answering *bookkeeping.Machine) (Snapshot, snapshotRefs) {
-	var s Snapshot
-	var refs snapshotRefs
-	teams := map[string]int{}
+// teamViews adds the teams to a snapshot and gives their places in it. Tasks
+// that unsettled machines may hold count as used.
+func (t *Term) teamViews(s *Snapshot) map[string]int {
+	teams := make(map[string]int, len(t.ledger.Teams))
 	for _, name := range sortedKeys(t.ledger.Teams) {
 		team := t.ledger.Teams[name]
 		teams[name] = len(s.Teams)
-		s.Teams = append(s.Teams, TeamView{Guarantee: team.Guarantee, Limit: team.Limit, Used: t.ledger.UsedIn(team)})
+		s.Teams = append(s.Teams, TeamView{Guarantee: team.Guarantee, Limit: team.Limit, Used: team.Used, Freeing: team.Freeing})
+	}
+	if t.settled {
+		return teams
 	}
+	for _, j := range t.ledger.Jobs {
+		if i, ok := teams[j.Spec.Team]; ok {
+			s.Teams[i].Used = s.Teams[i].Used.Plus(j.Spec.Need, j.InDoubt())
+		}
+	}
+	return teams
+}
+
+// accepts tells whether a machine may be given work.
+func (t *Term) accepts(m *bookkeeping.Machine, now units.Micros) bool {
+	return m.Seen && m.Settled && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
+		now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
+}
+
+// placeable tells whether tasks of a job may be placed now.
+func (t *Term) placeable(j *bookkeeping.Job, now units.Micros) bool {
+	return j.Waiting() && now >= j.RetryAt && len(j.Doubts) == 0
+}
+
+func (t *Term) machineView(m *bookkeeping.Machine, now units.Micros, answering bool) MachineView {
+	return MachineView{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Accepts: t.accepts(m, now),
+		Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering}
+}
+
+// spread fills in where a job's tasks are, for jobs that care.
+func (t *Term) spread(view *JobView, j *bookkeeping.Job) {
+	view.LiveIn, view.LiveOn = nil, nil
+	if j.Spec.OneZone || j.Spec.Spread || j.Spec.Shape == protocol.Service {
+		view.LiveIn = map[string]int{}
+		for _, a := range j.Live {
+			view.LiveIn[a.Machine.Zone]++
+		}
+	}
+	if j.Spec.Shape == protocol.Service {
+		view.LiveOn = map[int]int{} // filled by the machines' numbers
+	}
+}
+
+func (t *Term) snapshot(now units.Micros, answering *bookkeeping.Machine) (Snapshot, *snapshotRefs) {
+	var s Snapshot
+	refs := new(snapshotRefs)
+	teams := t.teamViews(&s)
 	waiting := 0
 	committed := make([]units.Resources, len(s.Teams))
-	views := make(map[string]*JobView, len(t.ledger.Jobs))
+	views := make(map[*bookkeeping.Job]*JobView, len(t.ledger.Jobs))
+	t.queue = t.queue[:0]
+	services := false
 	for _, j := range t.jobsInOrder() {
 		team, ok := teams[j.Spec.Team]
 		if !ok {
@@ -215,63 +319,40 @@
 		in := t.rankInput(j)
 		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(), Live: len(j.Live),
 			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
-			Late:       in.Late, Rank: t.Policy.Rank(in), LiveIn: map[string]int{},
-			Avoid: func(k int) bool {
-				m := refs.machines[k]
-				return j.ErrorsOn[m.ID] && len(j.ErrorsOn) < 3 || !j.CanName(m.ID)
-			}}
-		views[j.Spec.ID] = view
-		if !j.Waiting() || now < j.RetryAt || len(j.Doubts) > 0 {
+			Late:       in.Late, Rank: t.Policy.Rank(in)}
+		view.Avoid = func(m string) bool { return j.ErrorsOn[m] && len(j.ErrorsOn) < 3 || !j.CanName(m) }
+		views[j] = view
+		if j.Cancelled || !j.Accepted() {
 			continue
 		}
-		if j.Spec.OneZone || j.Spec.Spread || j.Spec.Shape == protocol.Service {
-			for _, a := range j.Live {
-				view.LiveIn[a.Machine.Zone]++
-			}
+		t.queue = append(t.queue, queued{j, *view})
+		if !t.placeable(j, now) {
+			continue
 		}
-		if j.Spec.Shape == protocol.Service {
-			view.LiveOn = map[int]int{} // filled with the machines below
+		t.spread(view, j)
+		if view.LiveOn != nil {
+			services = true
 		}
 		waiting += view.Pending
 		s.Jobs = append(s.Jobs, *view)
 		refs.jobs = append(refs.jobs, j)
 	}
-	for _, id := range sortedKeys(t.ledger.Machines) {
-		m := t.ledger.Machines[id]
+	slices.SortFunc(t.queue, func(a, b queued) int { return compareJobs(&a.view, &b.view) })
+	for _, m := range t.ledger.Ordered() {
 		if !m.Seen {
 			continue
 		}
 		t.drain(m, now)
-		view := MachineView{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Free: m.Free(), Images: m.HasImage, Answering: m == answering}
-		view.Accepts = m.Settled && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
-			now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
-		for _, a := range m.Sorted() {
-			if view := views[a.Job.Spec.ID]; view != nil && view.LiveOn != nil {
-				view.LiveOn[len(refs.machines)]++
-			}
-			if a.Stop {
-				view.Freeing = view.Freeing.Plus(a.Job.Spec.Need, 1)
-				if team, ok := teams[a.Job.Spec.Team]; ok {
-					s.Teams[team].Freeing = s.Teams[team].Freeing.Plus(a.Job.Spec.Need, 1)
+		view := t.machineView(m, now, m == answering)
+		if services {
+			for _, a := range m.Attempts {
+				if v := views[a.Job]; v != nil && v.LiveOn != nil {
+					v.LiveOn[len(refs.machines)]++
 				}
-				continue
-			}
-			if a.Stage != bookkeeping.Running && a.Stage != bookkeeping.Fetching || !view.Accepts {
-				continue
 			}
-			team, ok := teams[a.Job.Spec.Team]
-			if !ok {
-				continue
-			}
-			v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need, Job: views[a.Job.Spec.ID]}
-			if a.Stage == bookkeeping.Running {
-				v.Loses = now - a.RunningSince
-			}
-			if a.Job.Spec.Checkpoint > 0 {
-				v.Loses = a.Job.Spec.Save
-			}
-			refs.victims = append(refs.victims, a)
-			view.Victims = append(view.Victims, v)
+		}
+		if view.Accepts {
+			view.Victims = func() []Victim { return t.victims(m, teams, views, refs, now) }
 		}
 		s.Machines = append(s.Machines, view)
 		refs.machines = append(refs.machines, m)
@@ -280,6 +361,27 @@
 	return s, refs
 }
 
+// victims lists the tasks on a machine that could be stopped.
+func (t *Term) victims(m *bookkeeping.Machine, teams map[string]int, views map[*bookkeeping.Job]*JobView, refs *snapshotRefs, now units.Micros) []Victim {
+	out := make([]Victim, 0, len(m.Attempts))
+	for _, a := range m.Sorted() {
+		team, ok := teams[a.Job.Spec.Team]
+		if !ok || views[a.Job] == nil || a.Stop || a.Stage != bookkeeping.Running && a.Stage != bookkeeping.Fetching {
+			continue
+		}
+		v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need, Job: views[a.Job]}
+		if a.Stage == bookkeeping.Running {
+			v.Loses = now - a.RunningSince
+		}
+		if a.Job.Spec.Checkpoint > 0 {
+			v.Loses = a.Job.Spec.Save
+		}
+		refs.victims = append(refs.victims, a)
+		out = append(out, v)
+	}
+	return out
+}
+
 func (t *Term) rankInput(j *bookkeeping.Job) config.RankInput {
 	waited := max(0, t.Clock.Wall()-j.Submitted)
 	estimate := t.ledger.Estimate(j)
@@ -330,7 +432,7 @@
 		case a.Job.Spec.Checkpoint > 0 && left > a.Job.Spec.Save+3*report: // saving can wait
 			continue
 		}
-		a.Stop, a.Grace = true, a.Job.Spec.Save+units.Second
+		t.ledger.Stop(a, a.Job.Spec.Save+units.Second)
 		t.Log.Info("task drained", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
 	}
 }
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -48,6 +48,8 @@
 	lastRound   units.Micros
 	lastWork    units.Micros // when there was an unfinished job
 	roundCost   units.Micros // moving mean
+	queue       []queued     // waiting jobs as the last round saw them
+	offered     bool         // the last round left no machine unasked for what waits
 	lastSummary units.Micros
 	unreached   int // the most controllers out of reach at a time in this term
 	tombs       map[string]units.Micros
@@ -71,7 +73,7 @@
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
 	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
-		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams), heads: make([]uint64, bookkeeping.Buckets),
+		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State.ValueBytes()), heads: make([]uint64, bookkeeping.Buckets),
 		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{},
 		rent:     newRenting(),
 		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1)}
@@ -158,7 +160,7 @@
 	t.ledger.SetTypes(catalog.Types)
 	for _, j := range jobs {
 		j.Since = now
-		t.ledger.Jobs[j.Spec.ID] = j
+		t.ledger.Add(j)
 	}
 	t.ready = true
 	for _, e := range t.early {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -157,7 +157,7 @@
 	switch {
 	case !fits:
 		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
-	case !bookkeeping.RecordFits(*spec, int(t.Settings.Fleet.State.ValueKB*1024)):
+	case !bookkeeping.RecordFits(*spec, t.Settings.Fleet.State.ValueBytes()):
 		return http.StatusUnprocessableEntity, "the job's texts are too long to be kept"
 	case len(t.ledger.Jobs) >= t.maxJobs():
 		return http.StatusTooManyRequests, "too many unfinished jobs"
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -65,6 +65,9 @@
 
 // Fits tells how many times need fits into r.
 func (r Resources) Fits(need Resources) int {
+	if need.CPU > r.CPU || need.Memory > r.Memory || need.GPU > r.GPU {
+		return 0 // the most frequent case, for little
+	}
 	n := math.MaxInt32
 	for _, p := range [...][2]Amount{{r.CPU, need.CPU}, {r.GPU, need.GPU}, {r.Memory, need.Memory}} {
 		if p[0] < 0 {
