Guard against cut zones, deaf machines and late copies of reports

A zone that falls silent as a whole is kept; a machine on which two answers in a row have no effect gets no work and is returned; a machine gets work only after a report that shows this term, and the names of released ones are kept for the term.

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -37,6 +37,8 @@
 	Settled      bool // what it holds is known
 	Session, Seq uint64
 	LastAnswered units.Micros // when its last answered report came in
+	Told         Told         // by the last answer
+	Unheard      int          // answers in a row that had no effect
 	NoticeEnds   units.Micros // when the cloud takes it away; 0: no notice
 	SetAside     bool         // faulty: gets no work and is returned
 	Slow         bool
@@ -60,6 +62,13 @@
 	Number uint64
 }
 
+// Told is the first command of an answer that was sent to a machine.
+type Told struct {
+	Given bool
+	Verb  string
+	Key   AttemptKey
+}
+
 type image struct {
 	name string
 	size units.Amount
--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -44,7 +44,7 @@
 	// waits 4 s on each that does not answer.
 	searchStart = 2500 * units.Millisecond
 	searchNode  = 5 * units.Second
-	tombKept    = 90 * units.Second // for how long a released machine may still be listed
+	maxTombs    = 8192 // names of released machines kept: their reports may still come
 )
 
 // cloudLoop keeps the rented machines as wanted.
@@ -149,11 +149,6 @@
 			t.ledger.Remove(m, now)
 		}
 	}
-	for id, at := range t.tombs {
-		if now-at > tombKept {
-			delete(t.tombs, id)
-		}
-	}
 }
 
 // releaseUnwanted returns machines that are faulty, lost, never came up, or
@@ -171,7 +166,7 @@
 		t.mu.Lock()
 		now := t.Clock.Steady()
 		for _, id := range names[:n] {
-			t.tombs[id] = now
+			t.bury(id, now)
 			if m := t.ledger.Machines[id]; m != nil {
 				t.ledger.Remove(m, now)
 			} else {
@@ -185,6 +180,22 @@
 	}
 }
 
+// bury remembers a machine that is gone. It may still be listed for a while,
+// and copies of its reports may come at any time in this term: they must not
+// bring it back with room for work.
+func (t *Term) bury(id string, now units.Micros) {
+	if len(t.tombs) >= maxTombs {
+		oldest := id
+		for other, at := range t.tombs {
+			if at < t.tombs[oldest] || oldest == id {
+				oldest = other
+			}
+		}
+		delete(t.tombs, oldest)
+	}
+	t.tombs[id] = now
+}
+
 // unwanted chooses the machines to be released. A machine once chosen gets no
 // work and stays chosen, since a release that got no answer may be carried
 // out at any time.
@@ -196,7 +207,7 @@
 			m.Releasing = true
 		}
 	}
-	silent, release := t.silentMachines(now)
+	silent := t.silentMachines(now)
 	for _, id := range sortedKeys(t.ledger.Machines) {
 		m := t.ledger.Machines[id]
 		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
@@ -205,7 +216,7 @@
 			mark(m, "faulty")
 		case !m.Seen && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
 			mark(m, "never came up")
-		case silent[id] && release:
+		case silent[id]:
 			// Waiting for its lease would take longer, and what is known to
 			// be gone can start elsewhere.
 			mark(m, "silent")
@@ -215,7 +226,7 @@
 		}
 	}
 	for id := range silent {
-		if t.ledger.Machines[id] == nil && release {
+		if t.ledger.Machines[id] == nil {
 			chosen[id] = true
 		}
 	}
@@ -226,37 +237,81 @@
 	return sortedKeys(chosen)
 }
 
-// silentMachines gives the machines that should report and do not, those of
-// which only a record tells among them, and whether to release them: only
-// while most others report. When many fall silent together it is the network,
-// and they may well be back. Those that are merely late count as well, since
-// machines cut off at one moment do not reach the limit at one moment.
-func (t *Term) silentMachines(now units.Micros) (silent map[string]bool, release bool) {
-	silent = map[string]bool{}
-	reporting, late := 0, 0
+// health counts the machines of a zone, or of the fleet, by how they report.
+type health struct{ reporting, late, silent int }
+
+// reportTo tells whether, for each machine that does not report, so many do
+// that the silent ones are to blame themselves: when many fall silent together
+// it is the network, and they may well be back. Those that are merely late
+// count as well, since machines cut off at one moment do not reach the limit at
+// one moment.
+func (h health) reportTo(n int) bool { return h.reporting >= n*(h.silent+h.late) }
+
+// silentMachines gives the machines that should report and do not, or that
+// carry nothing out, those of which only a record tells among them, as far as
+// they are to be released: only while most others report, in the fleet and in
+// their zone. A zone that is cut off from everything must not be given away.
+func (t *Term) silentMachines(now units.Micros) map[string]bool {
+	silent := map[string]bool{}
+	var fleet health
+	zones := map[string]*health{}
 	report := t.Settings.Fleet.Workers.Report()
 	limit := t.silentAfter() + units.Second
-	for id, m := range t.ledger.Machines {
+	for _, m := range t.ledger.Ordered() {
+		zone := zones[m.Zone]
+		if zone == nil {
+			zone = new(health)
+			zones[m.Zone] = zone
+		}
 		switch {
-		case m.Seen && now-m.LastAnswered > limit:
-			silent[id] = true
+		case m.Seen && (now-m.LastAnswered > limit || m.Unheard >= deafAfter):
+			silent[m.ID] = true
+			fleet.silent++
+			zone.silent++
 		case m.Seen && now-m.LastAnswered > report.Share(5, 4)+units.Second:
-			late++
+			fleet.late++
+			zone.late++
 		case m.Seen:
-			reporting++
+			fleet.reporting++
+			zone.reporting++
 		}
 	}
 	t.unreached = max(t.unreached, t.Unreached())
 	if now-t.claimedAt > searchStart+report.Share(5, 4)+searchNode*units.Micros(t.unreached) {
 		for id := range t.doubtful() {
-			if m := t.ledger.Machines[id]; m == nil || !m.Seen {
-				silent[id] = true
+			m := t.ledger.Machines[id]
+			if m != nil && m.Seen {
+				continue
 			}
+			silent[id] = true
+			fleet.silent++
+			if m != nil && zones[m.Zone] != nil {
+				zones[m.Zone].silent++
+			}
+		}
+	}
+	for id := range silent {
+		m := t.ledger.Machines[id]
+		if !fleet.reportTo(2) || m != nil && !t.mayGoAlone(m, zones[m.Zone], now) {
+			delete(silent, id)
 		}
 	}
-	return silent, reporting >= 2*(len(silent)+late)
+	return silent
 }
 
+// mayGoAlone tells whether a silent machine of a zone may be released. Where
+// most of a zone is silent, a machine is kept until its tasks are given up
+// anyway and some time more, as long as there are several.
+func (t *Term) mayGoAlone(m *bookkeeping.Machine, zone *health, now units.Micros) bool {
+	return zone == nil || zone.reportTo(1) || zone.silent+zone.late < zoneCutLeast ||
+		now-max(m.LastAnswered, t.claimedAt) > withDrift(t.Settings.Fleet.Workers.Lease(), zoneCutMost)
+}
+
+const (
+	zoneCutLeast = 3                  // machines of a zone that fall silent together
+	zoneCutMost  = 120 * units.Second // beyond the workers' lease, until they are given back
+)
+
 // idle chooses machines that nothing has needed for a while, the dearest
 // first, as long as what is left covers the need and the reserve.
 func (t *Term) idle(now units.Micros) []*bookkeeping.Machine {
--- /dev/null
+++ b/internal/coordination/guard_test.go
@@ -0,0 +1,177 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// guardTerm is a leader of a job that is stored and waits.
+func guardTerm(t *testing.T, tasks int) (*Term, *manualClock) {
+	t.Helper()
+	clock := &manualClock{now: 100 * units.Second}
+	term := testTerm(7, clock)
+	term.install(nil, modelCatalog)
+	spec := *modelSpec("j-000001")
+	spec.Tasks = tasks
+	term.ledger.NewJob(spec, clock.now, clock.now)
+	term.save(t)
+	return term, clock
+}
+
+// save carries out all saves that are due.
+func (t *Term) save(tb testing.TB) {
+	tb.Helper()
+	for {
+		s := t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, t.Clock.Steady())
+		if s == nil {
+			return
+		}
+		t.ledger.Applied(s, 1)
+	}
+}
+
+// exchange is one report and its answer; saves that the answer needs are
+// carried out first.
+func (t *Term) exchange(tb testing.TB, r *protocol.Report) []protocol.Command {
+	tb.Helper()
+	now := t.Clock.Steady()
+	m := t.observe(r, now)
+	if m == nil {
+		return nil
+	}
+	t.lastRound = -units.Second
+	t.round(now, m)
+	t.save(tb)
+	return t.commands(m, r, now)
+}
+
+func beat(machine string, session, seq, term uint64) *protocol.Report {
+	return &protocol.Report{Machine: machine, Type: "m", Zone: "a", Spot: true, Session: session, Seq: seq, Term: term}
+}
+
+// A zone that is cut off falls silent as a whole while the rest of the fleet,
+// which is much larger, reports. It must not be released: its machines work on
+// and are back after the cut. A single machine of another zone is released.
+func TestCutZoneIsNotGivenAway(t *testing.T) {
+	term, clock := guardTerm(t, 1)
+	report := func(seq uint64, skip func(i int) bool) {
+		for i := range 40 {
+			r := beat(fmt.Sprintf("i-%06d", i), 1, seq, 7)
+			if i < 8 {
+				r.Zone = "cut"
+			}
+			if !skip(i) {
+				term.observe(r, clock.now)
+			}
+		}
+	}
+	report(1, func(int) bool { return false })
+	for seq := uint64(2); seq < 8; seq++ {
+		clock.now += units.Second
+		report(seq, func(i int) bool { return i < 8 || i == 20 })
+	}
+	silent := term.silentMachines(clock.now)
+	if len(silent) != 1 || !silent["i-000020"] {
+		t.Fatalf("to be released: %v", silent)
+	}
+}
+
+// A machine whose reports arrive but which carries nothing out gets no more
+// work and is returned; what was sent there is waiting again. On one that hears
+// again nothing is held against it.
+func TestDeafMachineIsReturned(t *testing.T) {
+	term, clock := guardTerm(t, 8)
+	for i := range 4 {
+		for seq := uint64(1); seq <= 2; seq++ {
+			term.observe(beat(fmt.Sprintf("i-%06d", i+1), 1, seq, 7), clock.now)
+		}
+	}
+	deaf := "i-000000"
+	starts := 0
+	for seq := uint64(1); seq < 10; seq++ {
+		for _, c := range term.exchange(t, beat(deaf, 1, seq, 7)) {
+			if c.Verb == protocol.Start {
+				starts++
+			}
+		}
+	}
+	if starts == 0 || starts > deafAfter*modelMachine {
+		t.Errorf("%d starts were sent to a machine that never carried one out", starts)
+	}
+	if m := term.ledger.Machines[deaf]; term.accepts(m, clock.now) || len(m.Attempts) > 0 {
+		t.Error("a deaf machine is given work")
+	}
+	if silent := term.silentMachines(clock.now); !silent[deaf] || len(silent) != 1 {
+		t.Errorf("to be released: %v", silent)
+	}
+}
+
+// A machine that hears some of its answers is not deaf.
+func TestLostAnswerIsForgiven(t *testing.T) {
+	term, clock := guardTerm(t, 8)
+	var last []protocol.TaskReport
+	for seq := uint64(1); seq < 6; seq++ {
+		r := beat("i-000001", 1, seq, 7)
+		r.Tasks = last
+		out := term.exchange(t, r)
+		if seq%2 == 0 { // every other answer is lost
+			continue
+		}
+		last = nil
+		for _, c := range out {
+			if c.Verb == protocol.Start {
+				var index int
+				if _, err := fmt.Sscanf(c.Task, "j-000001/%d", &index); err != nil {
+					t.Fatal(err)
+				}
+				last = append(last, protocol.TaskReport{Job: "j-000001", Index: index, Attempt: c.Attempt, Stage: protocol.TaskExited, Cause: protocol.CauseDone})
+			}
+		}
+	}
+	if m := term.ledger.Machines["i-000001"]; m.Unheard >= deafAfter || !term.accepts(m, clock.now) {
+		t.Errorf("%d answers count as unheard", m.Unheard)
+	}
+}
+
+// Copies of reports come late, of machines that are gone or that this term does
+// not know. They bring no room for work, settle nothing and renew nothing.
+func TestLateCopiesBringNoPhantom(t *testing.T) {
+	term, clock := guardTerm(t, 1)
+	// Of a machine that worked under an earlier term and is gone.
+	for seq := uint64(5); seq < 9; seq++ {
+		if out := term.exchange(t, beat("i-000001", 3, seq, 6)); len(out) > 0 {
+			t.Fatalf("a machine that has not shown this term is sent %v", out)
+		}
+	}
+	if term.accepts(term.ledger.Machines["i-000001"], clock.now) {
+		t.Error("it may be given work")
+	}
+	// Of one that was released in this term, however late.
+	term.observe(beat("i-000002", 1, 1, 7), clock.now)
+	term.ledger.Remove(term.ledger.Machines["i-000002"], clock.now)
+	term.bury("i-000002", clock.now)
+	clock.now += 600 * units.Second
+	if m := term.observe(beat("i-000002", 1, 9, 7), clock.now); m != nil || term.ledger.Machines["i-000002"] != nil {
+		t.Error("a released machine is back")
+	}
+	// Of one that is known: the older report has no effect.
+	m := term.observe(beat("i-000003", 2, 4, 7), clock.now)
+	heard := m.LastAnswered
+	clock.now += 5 * units.Second
+	for _, r := range []*protocol.Report{beat("i-000003", 2, 4, 7), beat("i-000003", 1, 99, 7)} {
+		if term.observe(r, clock.now) != nil || m.LastAnswered != heard {
+			t.Error("an old report renews the machine's lease")
+		}
+	}
+	// A doubt stays whatever an earlier term's report says.
+	j := term.ledger.Jobs["j-000001"]
+	j.Doubts["i-000004"] = true
+	term.observe(beat("i-000004", 1, 1, 6), clock.now)
+	if !j.Doubts["i-000004"] {
+		t.Error("a report from before this term settles a doubt")
+	}
+}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -73,6 +73,7 @@
 	if m.Seen && !newer(r, m.Session, m.Seq) {
 		return nil
 	}
+	t.heard(m, r)
 	if m.Seen && r.Session > m.Session {
 		t.Log.Info("machine began a new session", "machine", m.ID, "session", r.Session, "lost", len(m.Attempts))
 		t.ledger.Emptied(m, now)
@@ -113,16 +114,59 @@
 			t.ledger.Gone(a, now)
 		}
 	}
-	// An answer of a former leader may still be on its way to the worker
-	// until the worker has seen our term. A machine that no record names was
-	// never sent anything.
-	if !m.Settled && (r.Term == t.number || !t.ledger.Doubtful(m.ID)) {
+	// Only a report that shows our term was sent after an answer of ours was
+	// received. Any other may be a copy that comes late, of a machine that is
+	// gone by now, and an answer of a former leader may still be on its way.
+	if !m.Settled && r.Term == t.number {
 		t.ledger.Settle(m, now)
 		kick(t.kickRound)
 	}
 	return m
 }
 
+// heard works out from a newer report whether the last answer that commanded
+// something reached the machine: all of an answer's commands are carried out,
+// or none.
+func (t *Term) heard(m *bookkeeping.Machine, r *protocol.Report) {
+	if !m.Told.Given {
+		return
+	}
+	there, live := false, false
+	for i := range r.Tasks {
+		if k := &r.Tasks[i]; k.Job == m.Told.Key.Job && k.Index == m.Told.Key.Index && k.Attempt == m.Told.Key.Number {
+			there, live = true, k.Stage == protocol.TaskFetching || k.Stage == protocol.TaskRunning
+		}
+	}
+	carriedOut := !there
+	switch protocol.Verb(m.Told.Verb) {
+	case protocol.Start:
+		carriedOut = there
+	case protocol.Stop:
+		carriedOut = !live
+	}
+	m.Told.Given = false
+	if carriedOut && r.Session == m.Session {
+		m.Unheard = 0
+		return
+	}
+	if m.Unheard++; m.Unheard == deafAfter {
+		t.Log.Info("machine carries nothing out", "machine", m.ID, "task", protocol.TaskName(m.Told.Key.Job, m.Told.Key.Index),
+			"attempt", m.Told.Key.Number, "verb", m.Told.Verb)
+	}
+}
+
+// tell notes the first command of an answer, for heard.
+func tell(m *bookkeeping.Machine, out []protocol.Command, key bookkeeping.AttemptKey) {
+	if len(out) == 1 {
+		m.Told = bookkeeping.Told{Given: true, Verb: string(out[0].Verb), Key: key}
+	}
+}
+
+// deafAfter is how many answers in a row may have no effect on a machine until
+// it counts as deaf: it reports, but commands do not reach it. It then gets no
+// work and is returned as one that is silent would be.
+const deafAfter = 2
+
 func (t *Term) exited(m *bookkeeping.Machine, key bookkeeping.AttemptKey, task *protocol.TaskReport, now units.Micros) {
 	j, a := t.ledger.Jobs[key.Job], m.Attempts[key]
 	if a == nil {
@@ -207,7 +251,8 @@
 		task := &r.Tasks[i]
 		j := t.ledger.Jobs[task.Job]
 		name := protocol.TaskName(task.Job, task.Index)
-		a := m.Attempts[bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}]
+		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
+		a, before := m.Attempts[key], len(out)
 		switch {
 		case task.Stage == protocol.TaskExited:
 			// A completion that is not durable stays with the worker: a later
@@ -222,6 +267,9 @@
 		case a.Stop && task.Stage != protocol.TaskSaving:
 			out = append(out, stopCommand(name, task.Attempt, a.Grace))
 		}
+		if before == 0 {
+			tell(m, out, key)
+		}
 	}
 	var starts []*bookkeeping.Attempt
 	for _, a := range m.Attempts {
@@ -241,6 +289,7 @@
 		case m.Settled && a.Job.MayStartOn(m.ID) && len(out) < protocol.MaxCommands:
 			a.Stage, a.SentSeq = bookkeeping.Sent, r.Seq
 			out = append(out, protocol.Command{Verb: protocol.Start, Task: a.Task(), Attempt: a.Number})
+			tell(m, out, bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number})
 			t.Log.Debug("start sent", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
 		}
 	}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -272,7 +272,7 @@
 
 // accepts tells whether a machine may be given work.
 func (t *Term) accepts(m *bookkeeping.Machine, now units.Micros) bool {
-	return m.Seen && m.Settled && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
+	return m.Seen && m.Settled && m.Unheard < deafAfter && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
 		now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
 }
 
