--- a/cmd/dunestand/main.go
+++ b/cmd/dunestand/main.go
@@ -145,9 +145,14 @@
 	return node.New(s, node.Deps{Log: log, Policy: policy}).Run(ctx)
 }
 
+// gcPercent trades memory, of which there is plenty below the limit, for the
+// collector's time.
+const gcPercent = 300
+
 // limitProcess fits the runtime to the machine's share: one thread of Go code
 // for a share of one core, and a collector that works harder near the limit.
 func limitProcess(r config.Resources) {
 	runtime.GOMAXPROCS(max(1, int(r.CoreShare+0.99)))
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(r.RAMMB * 0.7 * (1 << 20)))
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -25,6 +25,7 @@
 	term       atomic.Pointer[Term]
 	lastWorker atomic.Int64 // steady time of the last worker's report
 	lastUseful atomic.Int64 // steady time when it last led or reached the leader
+	bypassed   atomic.Int64 // steady time since when another node leads that refuses this one's links; 0: none does
 }
 
 // socketsKept are left for links, the state service and the cloud.
@@ -120,16 +121,33 @@
 	})
 }
 
+// bypassPatience is for how long a leader may refuse this node's links while
+// it renews its lease. A leader that was just restarted is redialled sooner.
+const bypassPatience = 3 * units.Second
+
 // health: a node is of use while it leads or reaches the leader, and for a
 // while after. A change of leader takes a few seconds; were every node to call
 // itself unhealthy meanwhile, the load balancer would keep them all out for
-// longer than that, and longer each time.
+// longer than that, and longer each time. It is of no use, and says so soon,
+// while another node leads that it cannot pass requests on to, or while it is
+// itself cut off from the state service and all other controllers.
 func (c *Controller) health() transport.Response {
-	now := c.deps.Clock.Steady()
-	if t := c.leading(); t != nil && t.Ready() || c.peers.Reaches(c.deps.Lease.Leader()) {
+	now, lease := c.deps.Clock.Steady(), c.deps.Lease
+	leader := lease.Leader()
+	if t := c.leading(); t != nil && t.Ready() || c.peers.Reaches(leader) {
 		c.lastUseful.Store(int64(now))
 	}
-	if now-units.Micros(c.lastUseful.Load()) <= 2*c.deps.Lease.timing.Length+4*units.Second {
+	if !c.peers.Reaches(leader) && c.peers.Refused(leader) && lease.Renewed() {
+		c.bypassed.CompareAndSwap(0, int64(now))
+	} else {
+		c.bypassed.Store(0)
+	}
+	switch since := units.Micros(c.bypassed.Load()); {
+	case since != 0 && now-since >= bypassPatience:
+		return unavailable("the leader refuses this node's links")
+	case len(c.deps.Settings.Others) > 0 && !c.peers.ReachesAny() && lease.Unanswered() > lease.timing.Length:
+		return unavailable("cut off from the state service and the other controllers")
+	case now-units.Micros(c.lastUseful.Load()) <= 2*lease.timing.Length+4*units.Second:
 		return transport.Response{Status: http.StatusOK}
 	}
 	return unavailable("no leader in reach")
@@ -161,7 +179,8 @@
 		return t.Poll(ctx, id)
 	}
 	r := c.forward(ctx, forward, protocol.FramePoll, id, nil)
-	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.deps.Lease.Leader()) {
+	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.deps.Lease.Leader()) &&
+		c.deps.Lease.Unanswered() < c.deps.Lease.timing.Length {
 		return PollStored(ctx, c.deps.Store, id)
 	}
 	return r
@@ -203,6 +222,17 @@
 	})
 }
 
+// whoLeads names the node that workers should report to, "" if it is not
+// known. A leader that refuses this node's links may serve workers all the
+// same; the record tells while it is renewed.
+func (c *Controller) whoLeads() string {
+	leader := c.deps.Lease.Leader()
+	if leader == c.deps.Settings.Node || !c.peers.Reaches(leader) && !(c.peers.Refused(leader) && c.deps.Lease.Renewed()) {
+		return ""
+	}
+	return leader
+}
+
 // report answers a worker. Without the right to command the answer names the
 // leader, if it is known and is another node.
 func (c *Controller) report(ctx context.Context, r transport.Request) transport.Response {
@@ -216,10 +246,7 @@
 	c.lastWorker.Store(int64(c.deps.Clock.Steady()))
 	t := c.leading()
 	if t == nil {
-		if leader := c.deps.Lease.Leader(); leader != "" && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
-			return transport.Response{Status: http.StatusMisdirectedRequest, Body: protocol.Encode(protocol.Redirect{Leader: leader})}
-		}
-		return transport.Response{Status: http.StatusMisdirectedRequest, Body: protocol.Encode(protocol.Redirect{})}
+		return transport.Response{Status: http.StatusMisdirectedRequest, Body: protocol.Encode(protocol.Redirect{Leader: c.whoLeads()})}
 	}
 	answer, ok := t.Report(ctx, report)
 	if !ok || !c.deps.Lease.Valid(t.number) {
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"dunestand/internal/bookkeeping"
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
@@ -18,13 +20,12 @@
 	spec := *modelSpec("j-000001")
 	spec.Tasks = tasks
 	term.ledger.NewJob(spec, clock.now, clock.now)
-	term.save(t)
+	term.save()
 	return term, clock
 }
 
 // save carries out all saves that are due.
-func (t *Term) save(tb testing.TB) {
-	tb.Helper()
+func (t *Term) save() {
 	for {
 		s := t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, t.Clock.Steady())
 		if s == nil {
@@ -36,8 +37,7 @@
 
 // exchange is one report and its answer; saves that the answer needs are
 // carried out first.
-func (t *Term) exchange(tb testing.TB, r *protocol.Report) []protocol.Command {
-	tb.Helper()
+func (t *Term) exchange(r *protocol.Report) []protocol.Command {
 	now := t.Clock.Steady()
 	m := t.observe(r, now)
 	if m == nil {
@@ -45,7 +45,7 @@
 	}
 	t.lastRound = -units.Second
 	t.round(now, m)
-	t.save(tb)
+	t.save()
 	return t.commands(m, r, now)
 }
 
@@ -93,7 +93,7 @@
 	deaf := "i-000000"
 	starts := 0
 	for seq := uint64(1); seq < 10; seq++ {
-		for _, c := range term.exchange(t, beat(deaf, 1, seq, 7)) {
+		for _, c := range term.exchange(beat(deaf, 1, seq, 7)) {
 			if c.Verb == protocol.Start {
 				starts++
 			}
@@ -117,7 +117,7 @@
 	for seq := uint64(1); seq < 6; seq++ {
 		r := beat("i-000001", 1, seq, 7)
 		r.Tasks = last
-		out := term.exchange(t, r)
+		out := term.exchange(r)
 		if seq%2 == 0 { // every other answer is lost
 			continue
 		}
@@ -143,7 +143,7 @@
 	term, clock := guardTerm(t, 1)
 	// Of a machine that worked under an earlier term and is gone.
 	for seq := uint64(5); seq < 9; seq++ {
-		if out := term.exchange(t, beat("i-000001", 3, seq, 6)); len(out) > 0 {
+		if out := term.exchange(beat("i-000001", 3, seq, 6)); len(out) > 0 {
 			t.Fatalf("a machine that has not shown this term is sent %v", out)
 		}
 	}
@@ -175,3 +175,64 @@
 		t.Error("a report from before this term settles a doubt")
 	}
 }
+
+// Under an overload that goes on, with jobs of all sizes and priorities coming
+// faster than they can be served, each job still begins within four minutes.
+// By the order alone what is late waits behind all that comes after it.
+func TestEveryJobBeginsUnderOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &manualClock{now: 100 * units.Second}
+		term := testTerm(7, clock)
+		term.install(nil, modelCatalog)
+		due := map[string]units.Micros{}
+		ends := map[bookkeeping.AttemptKey]units.Micros{}
+		lasts := rapid.SliceOfN(rapid.IntRange(2, 8), 20, 20).Draw(t, "run times")
+		every := rapid.IntRange(10, 20).Draw(t, "seconds between jobs")
+		for step := range 400 {
+			clock.now += units.Second
+			if step%every == 0 {
+				spec := *modelSpec(fmt.Sprintf("j-%06d", step))
+				spec.Tasks = rapid.IntRange(40, 90).Draw(t, "tasks")
+				spec.Need = cpus(rapid.IntRange(1, 3).Draw(t, "cpus"))
+				spec.Priority = protocol.Priority(rapid.IntRange(0, 1).Draw(t, "priority"))
+				spec.Estimate = 5 * units.Second
+				term.ledger.NewJob(spec, clock.now, clock.now)
+				due[spec.ID] = clock.now + 240*units.Second
+				term.save()
+			}
+			for i := range 2 {
+				r := beat(fmt.Sprintf("i-%06d", i), 1, uint64(step+1), 7)
+				if m := term.ledger.Machines[r.Machine]; m != nil {
+					for _, a := range m.Sorted() {
+						key := bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number}
+						task := protocol.TaskReport{Job: key.Job, Index: key.Index, Attempt: key.Number, Stage: protocol.TaskRunning}
+						if a.Stop || clock.now >= ends[key] {
+							task.Stage, task.Cause = protocol.TaskExited, protocol.CauseDone
+						}
+						r.Tasks = append(r.Tasks, task)
+					}
+				}
+				m := term.observe(r, clock.now)
+				if step%3 == 0 {
+					term.round(clock.now, m)
+				} else {
+					term.fill(m, clock.now)
+				}
+				term.save()
+				term.commands(m, r, clock.now)
+				for _, a := range m.Sorted() {
+					key := bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number}
+					if ends[key] == 0 {
+						ends[key] = clock.now + units.Second*units.Micros(lasts[int(a.Number)%len(lasts)])
+						delete(due, key.Job)
+					}
+				}
+			}
+			for id, at := range due {
+				if clock.now > at {
+					t.Fatalf("%s of %d processors a task has not begun in four minutes", id, term.ledger.Jobs[id].Spec.Need.CPU/1_000_000)
+				}
+			}
+		}
+	})
+}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -104,12 +104,13 @@
 	resigning  bool
 	notBefore  units.Micros
 	saves      uint64
+	answeredAt units.Micros // when the state service last answered a read or a renewal
 }
 
 // NewFleetLease makes the lease of a node.
 func NewFleetLease(node string, store *bookkeeping.Store, clock units.Clock, timing LeaseTiming, random *rand.Rand, log *slog.Logger) *FleetLease {
 	return &FleetLease{node: node, store: store, clock: clock, timing: timing, random: random, log: log,
-		nonce: fmt.Sprintf("%s-%016x", node, random.Uint64()), watch: watch{timing: timing},
+		nonce: fmt.Sprintf("%s-%016x", node, random.Uint64()), watch: watch{timing: timing}, answeredAt: clock.Steady(),
 		Connected: func() bool { return true }}
 }
 
@@ -143,6 +144,23 @@
 	return f.watch.record.Holder
 }
 
+// Renewed tells whether another node surely led a moment ago: this node has
+// itself seen the holder renew the record within the lease.
+func (f *FleetLease) Renewed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.holding && f.watch.seen && !f.watch.broken && !f.watch.record.Resigned && f.watch.version != 0 &&
+		f.clock.Steady()-f.watch.since < f.timing.Length
+}
+
+// Unanswered is for how long the state service has answered neither a read nor
+// a renewal of the record.
+func (f *FleetLease) Unanswered() units.Micros {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Steady() - f.answeredAt
+}
+
 // Resign gives the lease up, for a leader that could not do its work.
 func (f *FleetLease) Resign() {
 	f.mu.Lock()
@@ -264,6 +282,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.answeredAt = f.clock.Steady()
 	if ours {
 		f.version = version
 		if rec.Resigned {
@@ -321,6 +340,7 @@
 		}
 		return f.timing.Poll
 	}
+	f.answeredAt = now
 	f.watch.saw(rec, version, now)
 	due := f.watch.claimable(f.node, now) && now >= f.notBefore
 	rec, version, since := f.watch.record, f.watch.version, f.watch.since
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -106,6 +106,12 @@
 	return l.link.Up() && p.clock.Steady()-units.Micros(l.heard.Load()) < linkFresh
 }
 
+// Refused tells whether a peer's machine refuses connections.
+func (p *Peers) Refused(node string) bool {
+	l := p.links[node]
+	return l != nil && l.link.Refused()
+}
+
 // Unreached counts the peers from which nothing comes, not even a refusal.
 func (p *Peers) Unreached() int {
 	n := 0
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -32,6 +32,7 @@
 	Accepts    bool // may be given work
 	Answering  bool // its report is being answered: a start reaches it now
 	Slow       bool
+	Held       bool // its room is kept for a job that goes before the rest
 	Free       units.Resources
 	Freeing    units.Resources // held by tasks that were told to stop
 	Images     func(name string) bool
@@ -56,6 +57,7 @@
 	Team       int
 	Guaranteed bool // within its team's guarantee
 	Late       bool // cannot be in time any more
+	Overdue    bool // has waited too long for its first task to begin
 	Rank       float64
 	Order      int64 // settles ties: the earlier submission first
 	Pending    int
@@ -71,10 +73,15 @@
 // Preemption stops a victim (Victim.Ref) to make room for a job.
 type Preemption struct{ Victim, For int }
 
+// Hold keeps a machine's free room together for a job, until a task of the job
+// fits.
+type Hold struct{ Machine, For int }
+
 // Wanted is the outcome of a round.
 type Wanted struct {
 	Starts []Starts
 	Stops  []Preemption
+	Holds  []Hold
 	Cut    bool // the batch ended the round: more might have been started
 }
 
@@ -104,7 +111,9 @@
 	key     [6]int64
 }
 
-// Plan decides what to start and what to stop. The urgent priorities go first.
+// Plan decides what to start and what to stop. The first task of a job that has
+// waited too long goes before everything: under a long overload the order alone
+// would leave some jobs waiting for ever. The urgent priorities go first then.
 // Of the others, what can still be in time goes before what is late anyway,
 // whatever their priority; then jobs inside their team's guarantee, then by
 // priority, then by rank.
@@ -134,6 +143,19 @@
 			p.placeGang(i, j)
 			continue
 		}
+		if j.Overdue {
+			// One task goes before everything, the rest in its turn.
+			rest := j.Pending - 1
+			j.Pending = 1
+			p.place(i, j)
+			s.Teams[j.Team].Closed = p.headroom(j) == 0
+			if j.Pending > 0 {
+				p.preempt(i, j)
+				p.hold(i, j)
+			}
+			j.Pending += rest
+			continue
+		}
 		p.place(i, j)
 		if j.Pending > 0 {
 			// Jobs of small tasks must not take what is left of the limit
@@ -159,6 +181,7 @@
 		return 0
 	}
 	return cmp.Or(
+		-cmp.Compare(number(a.Overdue), number(b.Overdue)),
 		-cmp.Compare(urgent(a), urgent(b)),
 		cmp.Compare(number(a.Late), number(b.Late)),
 		-cmp.Compare(number(a.Guaranteed), number(b.Guaranteed)),
@@ -241,7 +264,7 @@
 	p.companions = p.companions[:0]
 	for k := range p.s.Machines {
 		m := &p.s.Machines[k]
-		if m.Free.Fits(j.Spec.Need) == 0 || !p.usable(k, j) {
+		if m.Held || m.Free.Fits(j.Spec.Need) == 0 || !p.usable(k, j) {
 			continue
 		}
 		c := companion{machine: k, key: [6]int64{5: int64(m.Free.CPU)}}
@@ -266,6 +289,25 @@
 	return p.companions
 }
 
+// hold keeps the room of the machine that has most of it together for a job,
+// or small tasks would go on taking it bit by bit.
+func (p *planner) hold(i int, j *JobView) {
+	best := -1
+	for k := range p.s.Machines {
+		m := &p.s.Machines[k]
+		if m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need) > 0 || m.Held || !p.usable(k, j) {
+			continue
+		}
+		if best < 0 || m.Free.CPU > p.s.Machines[best].Free.CPU {
+			best = k
+		}
+	}
+	if best >= 0 && p.headroom(j) > 0 {
+		p.s.Machines[best].Held = true
+		p.out.Holds = append(p.out.Holds, Hold{Machine: best, For: i})
+	}
+}
+
 // placeGang starts all of a gang's tasks or none. While some of its tasks may
 // still be on machines, the rest waits for them to end.
 func (p *planner) placeGang(i int, j *JobView) {
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -195,3 +195,20 @@
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
 }
+
+// A task that needs two processors never finds them where tasks of one end one
+// by one, unless the room is kept together for it.
+func TestRoomIsKeptTogetherForOverdueJobs(t *testing.T) {
+	s := Snapshot{Batch: 10, Teams: []TeamView{{Limit: cpus(100)}}}
+	for range 2 {
+		s.Machines = append(s.Machines, MachineView{Accepts: true, Free: cpus(1), Images: func(string) bool { return false }})
+	}
+	job := func(id string, need int, overdue bool) JobView {
+		return JobView{Spec: &protocol.JobSpec{ID: id, Tasks: 5, Need: cpus(need)}, Pending: 5, Overdue: overdue, Avoid: func(string) bool { return false }}
+	}
+	s.Jobs = []JobView{job("j-000001", 1, false), job("j-000002", 2, true)}
+	w := Plan(&s)
+	if len(w.Holds) != 1 || w.Holds[0].For != 1 || len(w.Starts) != 1 || w.Starts[0].Machine == w.Holds[0].Machine {
+		t.Fatalf("%+v", w)
+	}
+}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -153,6 +153,10 @@
 	s, refs := t.snapshot(now, answering)
 	wanted := Plan(&s)
 	t.offered = !wanted.Cut
+	clear(t.held)
+	for _, h := range wanted.Holds {
+		t.held[refs.machines[h.Machine]] = refs.jobs[h.For]
+	}
 	t.carryOut(wanted, refs, now)
 	t.lastRound = t.Clock.Steady()
 	t.roundCost = (7*t.roundCost + (t.lastRound - began)) / 8
@@ -185,10 +189,16 @@
 	refs := &snapshotRefs{machines: []*bookkeeping.Machine{m}}
 	for _, q := range queue {
 		j := q.job
+		if held := t.held[m]; held != nil && held != j && held.Waiting() && len(held.Live) == 0 {
+			continue // the room is kept together for another job
+		}
 		if s.Machines[0].Free.Fits(j.Spec.Need) == 0 && m.Freeing == (units.Resources{}) || !t.placeable(j, now) {
 			continue
 		}
 		view := q.view
+		if view.Overdue && len(j.Live) > 0 {
+			continue // it has begun; its turn for the rest is found by the next round
+		}
 		view.Pending, view.Live, view.Team = j.Pending(), len(j.Live), teams[j.Spec.Team]
 		t.spread(&view, j)
 		if view.LiveOn != nil {
@@ -276,6 +286,16 @@
 		now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
 }
 
+// startPatience is how long a job may wait for its first task until that goes
+// before everything else: half of the four minutes in which every job is to
+// begin.
+const startPatience = 120 * units.Second
+
+// overdue tells whether a job has waited too long and has nothing done yet.
+func (t *Term) overdue(j *bookkeeping.Job) bool {
+	return j.DoneCount() == 0 && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
+}
+
 // placeable tells whether tasks of a job may be placed now.
 func (t *Term) placeable(j *bookkeeping.Job, now units.Micros) bool {
 	return j.Waiting() && now >= j.RetryAt && len(j.Doubts) == 0
@@ -319,7 +339,7 @@
 		in := t.rankInput(j)
 		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(), Live: len(j.Live),
 			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
-			Late:       in.Late, Rank: t.Policy.Rank(in)}
+			Late:       in.Late, Rank: t.Policy.Rank(in), Overdue: t.overdue(j) && len(j.Live) == 0}
 		view.Avoid = func(m string) bool { return j.ErrorsOn[m] && len(j.ErrorsOn) < 3 || !j.CanName(m) }
 		views[j] = view
 		if j.Cancelled || !j.Accepted() {
@@ -369,6 +389,9 @@
 		if !ok || views[a.Job] == nil || a.Stop || a.Stage != bookkeeping.Running && a.Stage != bookkeeping.Fetching {
 			continue
 		}
+		if t.overdue(a.Job) && len(a.Job.Live) == 1 {
+			continue // all that its job has, after a long wait
+		}
 		v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need, Job: views[a.Job]}
 		if a.Stage == bookkeeping.Running {
 			v.Loses = now - a.RunningSince
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -46,10 +46,11 @@
 	saves       uint64
 	hires       uint64
 	lastRound   units.Micros
-	lastWork    units.Micros // when there was an unfinished job
-	roundCost   units.Micros // moving mean
-	queue       []queued     // waiting jobs as the last round saw them
-	offered     bool         // the last round left no machine unasked for what waits
+	lastWork    units.Micros                              // when there was an unfinished job
+	roundCost   units.Micros                              // moving mean
+	queue       []queued                                  // waiting jobs as the last round saw them
+	held        map[*bookkeeping.Machine]*bookkeeping.Job // whose room the last round keeps together for whom
+	offered     bool                                      // the last round left no machine unasked for what waits
 	lastSummary units.Micros
 	unreached   int // the most controllers out of reach at a time in this term
 	tombs       map[string]units.Micros
@@ -75,7 +76,7 @@
 	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
 		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State.ValueBytes()), heads: make([]uint64, bookkeeping.Buckets),
 		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{},
-		rent:     newRenting(),
+		rent: newRenting(), held: map[*bookkeeping.Machine]*bookkeeping.Job{},
 		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1)}
 }
 
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -21,7 +21,7 @@
 	linkWrite    = 3 * time.Second
 	linkIdle     = 20 * time.Second // pings come far more often
 	redialFirst  = 100 * time.Millisecond
-	redialMost   = 2 * time.Second
+	redialMost   = time.Second
 	maxMeshConns = 16
 )
 
