--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -14,7 +14,8 @@
 	Teams    []TeamView
 	Machines []MachineView
 	Jobs     []JobView
-	Batch    int // the most starts in this round
+	Batch    int  // the most starts in this round
+	Partial  bool // not all machines are in view: none is held for a job
 }
 
 // TeamView is a team's limit and what may be running for it.
@@ -180,6 +181,9 @@
 		}
 		return 0
 	}
+	if a.Overdue && b.Overdue {
+		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	}
 	return cmp.Or(
 		-cmp.Compare(number(a.Overdue), number(b.Overdue)),
 		-cmp.Compare(urgent(a), urgent(b)),
@@ -295,7 +299,7 @@
 	best := -1
 	for k := range p.s.Machines {
 		m := &p.s.Machines[k]
-		if m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need) > 0 || m.Held || !p.usable(k, j) {
+		if p.s.Partial || m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need) > 0 || m.Held || !p.usable(k, j) {
 			continue
 		}
 		if best < 0 || m.Free.CPU > p.s.Machines[best].Free.CPU {
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -171,7 +171,7 @@
 	if !t.offered || len(t.queue) == 0 || !t.accepts(m, now) {
 		return
 	}
-	s := Snapshot{Batch: batchMost}
+	s := Snapshot{Batch: batchMost, Partial: true}
 	teams := t.teamViews(&s)
 	s.Machines = []MachineView{t.machineView(m, now, true)}
 	// A few jobs at a time: the first ones mostly take all the room.
