Wait for tasks that end by themselves before stopping others

Now a job first waits an eighth of its start due (a quarter of the guarantee's), and room on the largest machines is kept together for urgent ones meanwhile.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -248,6 +248,17 @@
 	return dues
 }
 
+// GuaranteeDue is when work within a guarantee should have started, 0 if
+// nothing is said.
+func (f *Fleet) GuaranteeDue() units.Micros {
+	for _, o := range f.Objectives {
+		if o.Kind == "guarantee" {
+			return units.Seconds(o.WithinS)
+		}
+	}
+	return 0
+}
+
 // StartDue is when a job's tasks should have started, 0 if nothing is said.
 func (f *Fleet) StartDue(class string) units.Micros {
 	for _, o := range f.Objectives {
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -34,7 +34,7 @@
 	Answering  bool // its report is being answered: a start reaches it now
 	Slow       bool
 	Held       bool // its room is kept for a job that goes before the rest
-	Free       units.Resources
+	Size, Free units.Resources
 	Freeing    units.Resources // held by tasks that were told to stop
 	Images     func(name string) bool
 	// Victims lists the tasks that could be stopped; nil if none may be. It is
@@ -58,6 +58,7 @@
 	Team       int
 	Guaranteed bool // within its team's guarantee
 	Late       bool // cannot be in time any more
+	Patient    bool // tasks that end by themselves may still make room in time
 	Overdue    bool // has waited too long for its first task to begin
 	Rank       float64
 	Order      int64 // settles ties: the earlier submission first
@@ -152,7 +153,7 @@
 			s.Teams[j.Team].Closed = p.headroom(j) == 0
 			if j.Pending > 0 {
 				p.preempt(i, j)
-				p.hold(i, j)
+				p.hold(i, j, 1)
 			}
 			j.Pending += rest
 			continue
@@ -163,6 +164,9 @@
 			// bit by bit, or a larger task would wait for ever.
 			s.Teams[j.Team].Closed = p.headroom(j) == 0
 			p.preempt(i, j)
+			if j.Patient && j.Spec.Priority >= protocol.High {
+				p.hold(i, j, j.Pending)
+			}
 		}
 	}
 	return p.out
@@ -293,22 +297,27 @@
 	return p.companions
 }
 
-// hold keeps the room of the machine that has most of it together for a job,
-// or small tasks would go on taking it bit by bit.
-func (p *planner) hold(i int, j *JobView) {
-	best := -1
+// hold keeps the room of some machines together for a job, or small tasks would
+// go on taking it bit by bit: of the largest, where tasks end most often, those
+// that have most room.
+func (p *planner) hold(i int, j *JobView, n int) {
+	if p.s.Partial {
+		return
+	}
+	var fit []int
 	for k := range p.s.Machines {
 		m := &p.s.Machines[k]
-		if p.s.Partial || m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need) > 0 || m.Held || !p.usable(k, j) {
-			continue
-		}
-		if best < 0 || m.Free.CPU > p.s.Machines[best].Free.CPU {
-			best = k
+		if !m.Held && m.Size.Fits(j.Spec.Need) > 0 && m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need) == 0 && p.usable(k, j) {
+			fit = append(fit, k)
 		}
 	}
-	if best >= 0 && p.headroom(j) > 0 {
-		p.s.Machines[best].Held = true
-		p.out.Holds = append(p.out.Holds, Hold{Machine: best, For: i})
+	slices.SortStableFunc(fit, func(a, b int) int {
+		x, y := &p.s.Machines[a], &p.s.Machines[b]
+		return cmp.Or(-cmp.Compare(x.Size.CPU, y.Size.CPU), -cmp.Compare(x.Free.CPU, y.Free.CPU))
+	})
+	for _, k := range fit[:min(len(fit), n, p.headroom(j))] {
+		p.s.Machines[k].Held = true
+		p.out.Holds = append(p.out.Holds, Hold{Machine: k, For: i})
 	}
 }
 
@@ -353,7 +362,7 @@
 // machines. Room that stopped tasks are about to leave is reckoned with first,
 // so that no round stops again for the same need.
 func (p *planner) preempt(i int, j *JobView) {
-	mayStop := p.mayStopAny(j)
+	mayStop := !j.Patient && p.mayStopAny(j)
 	if !mayStop && !p.freeing {
 		return
 	}
@@ -419,7 +428,7 @@
 func (p *planner) preemptInTeam(i int, j *JobView) int {
 	t := &p.s.Teams[j.Team]
 	room := func() int { return min(j.Pending, t.Limit.Plus(t.Used, -1).Plus(t.Freeing, 1).Fits(j.Spec.Need)) }
-	if room() == j.Pending || j.Spec.Priority < protocol.High {
+	if room() == j.Pending || j.Spec.Priority < protocol.High || j.Patient {
 		return room()
 	}
 	for _, c := range p.victimsOf(j.Team) {
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -201,7 +201,7 @@
 func TestRoomIsKeptTogetherForOverdueJobs(t *testing.T) {
 	s := Snapshot{Batch: 10, Teams: []TeamView{{Limit: cpus(100)}}}
 	for range 2 {
-		s.Machines = append(s.Machines, MachineView{Accepts: true, Free: cpus(1), Images: func(string) bool { return false }})
+		s.Machines = append(s.Machines, MachineView{Accepts: true, Size: cpus(4), Free: cpus(1), Images: func(string) bool { return false }})
 	}
 	job := func(id string, need int, overdue bool) JobView {
 		return JobView{Spec: &protocol.JobSpec{ID: id, Tasks: 5, Need: cpus(need)}, Pending: 5, Overdue: overdue, Avoid: func(string) bool { return false }}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -175,7 +175,14 @@
 	teams := t.teamViews(&s)
 	s.Machines = []MachineView{t.machineView(m, now, true)}
 	// A few jobs at a time: the first ones mostly take all the room.
-	for queue := t.queue; len(queue) > 0 && s.Machines[0].Free.CPU > 0; {
+	queue := t.queue
+	if held := t.held[m]; held != nil && t.placeable(held, now) {
+		// The room is kept together for this job: none that comes later gets any.
+		if i := slices.IndexFunc(queue, func(q queued) bool { return q.job == held }); i >= 0 {
+			queue = queue[:i+1]
+		}
+	}
+	for len(queue) > 0 && s.Machines[0].Free.CPU > 0 {
 		n := min(len(queue), fillJobs)
 		t.fillFrom(queue[:n], m, &s, teams, now)
 		queue = queue[n:]
@@ -189,9 +196,6 @@
 	refs := &snapshotRefs{machines: []*bookkeeping.Machine{m}}
 	for _, q := range queue {
 		j := q.job
-		if held := t.held[m]; held != nil && held != j && held.Waiting() && len(held.Live) == 0 {
-			continue // the room is kept together for another job
-		}
 		if s.Machines[0].Free.Fits(j.Spec.Need) == 0 && m.Freeing == (units.Resources{}) || !t.placeable(j, now) {
 			continue
 		}
@@ -296,6 +300,22 @@
 	return j.DoneCount() == 0 && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
 }
 
+// patient tells whether a job has not waited long enough to have tasks of
+// others stopped for it. In a large fleet tasks end all the time, and what is
+// stopped has to be done again: a job first waits for a part of what the users'
+// aims allow.
+func (t *Term) patient(j *bookkeeping.Job, now units.Micros) bool {
+	patience := 2 * units.Second
+	if j.Spec.Priority < protocol.High {
+		if due := t.Settings.Fleet.GuaranteeDue(); due > 0 {
+			patience = due / 4
+		}
+	} else if due := t.Settings.Fleet.StartDue(j.Spec.Class); due > 0 {
+		patience = due / 8
+	}
+	return now-j.Since < patience
+}
+
 // placeable tells whether tasks of a job may be placed now.
 func (t *Term) placeable(j *bookkeeping.Job, now units.Micros) bool {
 	return j.Waiting() && now >= j.RetryAt && len(j.Doubts) == 0
@@ -303,7 +323,7 @@
 
 func (t *Term) machineView(m *bookkeeping.Machine, now units.Micros, answering bool) MachineView {
 	return MachineView{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Accepts: t.accepts(m, now),
-		Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering}
+		Size: m.Size, Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering}
 }
 
 // spread fills in where a job's tasks are, for jobs that care.
@@ -339,6 +359,7 @@
 		in := t.rankInput(j)
 		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(), Live: len(j.Live),
 			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
+			Patient:    t.patient(j, now),
 			Late:       in.Late, Rank: t.Policy.Rank(in), Overdue: t.overdue(j) && len(j.Live) == 0}
 		view.Avoid = func(m string) bool { return j.ErrorsOn[m] && len(j.ErrorsOn) < 3 || !j.CanName(m) }
 		views[j] = view
