--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -50,6 +50,9 @@
 	Incarnation uint64 `cbor:"incarnation"`
 	Save        string `cbor:"save"`               // names the save, so that its author knows it again
 	Resigned    bool   `cbor:"resigned,omitempty"` // the holder gave it up: no need to wait
+	// Handed is the time of day when a holder that had fallen behind last gave
+	// it up.
+	Handed units.Micros `cbor:"handed,omitempty"`
 }
 
 // Final is the record of a finished job.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -52,6 +53,41 @@
 	}
 }
 
+// The settings of a grown deployment: five controllers, a dozen teams.
+func TestManyNodesAndTeams(t *testing.T) {
+	s := goodSettings()
+	var others, teams []any
+	for i := range 4 {
+		others = append(others, map[string]any{"node_name": fmt.Sprintf("dune-%d", i+1), "area": "b", "endpoint": fmt.Sprintf("10.0.0.%d:8081", i+2)})
+	}
+	for i := range 12 {
+		teams = append(teams, map[string]any{"name": fmt.Sprintf("kitchen-%02d", i), "cpus": 500.0, "cpus_max": 800.0})
+	}
+	s["others"], s["settings"].(map[string]any)["teams"] = others, teams
+	parsed, err := Parse(encode(t, s))
+	if err != nil || len(parsed.Others) != 4 || len(parsed.Fleet.Teams) != 12 {
+		t.Fatalf("%v %+v", err, parsed)
+	}
+	for what, spoil := range map[string]func(){
+		"others[4].node_name": func() { s["others"] = append(others, others[0]) },
+		"others[4].endpoint":  func() { s["others"] = append(others, map[string]any{"node_name": "dune-9"}) },
+		"teams[12].name":      func() { s["settings"].(map[string]any)["teams"] = append(teams, teams[3]) },
+		"teams[12]: negative amount": func() {
+			s["settings"].(map[string]any)["teams"] = append(teams, map[string]any{"name": "x", "cpus": -1.0})
+		},
+		"settings.workers.report_s":     func() { delete(s["settings"].(map[string]any), "workers") },
+		"settings.resources.core_share": func() { delete(s["settings"].(map[string]any), "resources") },
+		"services.cloud":                func() { delete(s, "services") },
+		"settings.zones":                func() { delete(s["settings"].(map[string]any), "zones") },
+	} {
+		s = goodSettings()
+		spoil()
+		if _, err := Parse(encode(t, s)); err == nil || !strings.Contains(err.Error(), what) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+}
+
 // Every bad value is refused with one line that names the field.
 func TestBadSettings(t *testing.T) {
 	for path, bad := range map[string][]any{
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -42,7 +42,7 @@
 		peers:  NewPeers(s.Others, clock, random, log),
 		server: transport.NewServer(max(s.Fleet.Resources.MaxConnections-socketsKept, s.Fleet.Resources.MaxConnections/2)),
 	}
-	c.deps.Unreached = c.peers.Unreached
+	c.deps.Unreached, c.deps.PeerInReach = c.peers.Unreached, c.peers.ReachesAny
 	c.lastWorker.Store(-1 << 50)
 	c.lastUseful.Store(-1 << 50)
 	lease.Connected = func() bool {
--- /dev/null
+++ b/internal/coordination/lag.go
@@ -0,0 +1,50 @@
+package coordination
+
+import (
+	"context"
+
+	"dunestand/internal/units"
+)
+
+// lagWatch notices that this process falls behind: its timers fire late. A
+// leader that computes too slowly makes everybody wait, and there are others.
+type lagWatch struct {
+	mean  units.Micros // moving mean of how late the timer fires
+	since units.Micros // since when it has been too late; 0: it is not
+}
+
+const (
+	lagTick     = 250 * units.Millisecond
+	lagMost     = 400 * units.Millisecond // mean lateness that is too much
+	lagPatience = 3 * units.Second        // for so long
+	termLeast   = 20 * units.Second       // a term begins with more work than usual
+	handPause   = 120 * units.Second      // between hand-overs, or the lease would go round in circles
+)
+
+// late takes in how late the timer fired and tells whether it has been too late
+// for too long.
+func (w *lagWatch) late(by, now units.Micros) bool {
+	w.mean = (7*w.mean + max(0, by)) / 8
+	switch {
+	case w.mean < lagMost:
+		w.since = 0
+	case w.since == 0:
+		w.since = now
+	}
+	return w.since != 0 && now-w.since >= lagPatience
+}
+
+// lagLoop hands the lease over when this node has fallen behind and another one
+// is there to take it.
+func (t *Term) lagLoop(ctx context.Context) {
+	var w lagWatch
+	for last := t.Clock.Steady(); pause(ctx, lagTick); {
+		now := t.Clock.Steady()
+		behind := w.late(now-last-lagTick, now)
+		last = now
+		if behind && now-t.claimedAt > termLeast && t.PeerInReach() && t.Lease.HandOver(t.Clock.Wall()) {
+			t.Log.Info("this node has fallen behind; the lease is handed over", "late_ms", w.mean/units.Millisecond)
+			w = lagWatch{}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/lag_test.go
@@ -0,0 +1,58 @@
+package coordination
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dunestand/internal/units"
+)
+
+// A pause now and then, as long as it may be, is no reason to hand the lease
+// over; being late all the time is, within a few seconds.
+func TestLagThatLasts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w lagWatch
+		now := 100 * units.Second
+		for range rapid.IntRange(1, 20).Draw(t, "pauses") {
+			by := units.Micros(rapid.IntRange(0, 2000).Draw(t, "pause")) * units.Millisecond
+			now += lagTick + by
+			if w.late(by, now) {
+				t.Fatal("one pause is taken for falling behind")
+			}
+			for range 24 { // and then on time
+				now += lagTick
+				if w.late(0, now) {
+					t.Fatal("one pause is taken for falling behind")
+				}
+			}
+		}
+		by := units.Micros(rapid.IntRange(800, 4000).Draw(t, "late by")) * units.Millisecond
+		began := now
+		for !w.late(by, now) {
+			if now += lagTick + by; now-began > 30*units.Second {
+				t.Fatalf("late by %v all the time, and not noticed", by)
+			}
+		}
+	})
+}
+
+// The lease is handed over once in a while at most, whoever holds it: the time
+// of the last hand-over goes with the record.
+func TestLeaseDoesNotGoRoundInCircles(t *testing.T) {
+	clock := &manualClock{now: 1000 * units.Second}
+	lease := testTerm(1, clock).Lease
+	if !lease.HandOver(clock.now) || lease.Valid(1) {
+		t.Fatal("not handed over")
+	}
+	next := testTerm(2, clock).Lease
+	next.handedAt = lease.handedAt // as read from the record
+	clock.now += handPause - units.Second
+	if next.HandOver(clock.now) || !next.Valid(2) {
+		t.Error("handed over again at once")
+	}
+	clock.now += 2 * units.Second
+	if !next.HandOver(clock.now) {
+		t.Error("not handed over long after")
+	}
+}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -104,6 +104,7 @@
 	resigning  bool
 	notBefore  units.Micros
 	saves      uint64
+	handedAt   units.Micros // as in the record
 	answeredAt units.Micros // when the state service last answered a read or a renewal
 }
 
@@ -168,6 +169,18 @@
 	f.resigning = true
 }
 
+// HandOver gives the lease up for a node that has fallen behind, and tells
+// whether it did: not if any holder did so a short time ago.
+func (f *FleetLease) HandOver(wall units.Micros) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.holding || f.resigning || wall-f.handedAt < handPause {
+		return false
+	}
+	f.handedAt, f.resigning = wall, true
+	return true
+}
+
 // Run keeps the lease or waits for it, until ctx ends. While a term lasts,
 // lead runs with a context that ends when the term is lost for good. A lease
 // that merely lapsed, with the record unchanged, is renewed in the same term.
@@ -270,7 +283,7 @@
 // was sent, since nobody can have seen it earlier.
 func (f *FleetLease) renew(ctx context.Context) units.Micros {
 	f.mu.Lock()
-	rec := bookkeeping.Lease{Holder: f.node, Incarnation: f.term, Save: f.saveID(), Resigned: f.resigning}
+	rec := bookkeeping.Lease{Holder: f.node, Incarnation: f.term, Save: f.saveID(), Resigned: f.resigning, Handed: f.handedAt}
 	on, sent := f.version, f.clock.Steady()
 	f.mu.Unlock()
 	version, ours, err := f.write(ctx, rec, on)
@@ -367,7 +380,7 @@
 // incarnation by one.
 func (f *FleetLease) claim(ctx context.Context, old bookkeeping.Lease, version uint64) units.Micros {
 	f.mu.Lock()
-	rec := bookkeeping.Lease{Holder: f.node, Incarnation: old.Incarnation + 1, Save: f.saveID()}
+	rec := bookkeeping.Lease{Holder: f.node, Incarnation: old.Incarnation + 1, Save: f.saveID(), Handed: old.Handed}
 	sent := f.clock.Steady()
 	f.mu.Unlock()
 	now, ours, err := f.write(ctx, rec, version)
@@ -376,7 +389,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.holding, f.resigning, f.term, f.version = true, false, rec.Incarnation, now
+	f.holding, f.resigning, f.term, f.version, f.handedAt = true, false, rec.Incarnation, now, rec.Handed
 	f.validUntil = sent + f.timing.Length
 	f.log.Info("fleet lease claimed", "term", f.term, "from", old.Holder)
 	return f.timing.Renew
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -51,7 +51,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	lease := NewFleetLease("n", nil, clock, TimingFor(modelLease), rand.New(rand.NewPCG(1, number)), log)
 	lease.holding, lease.term, lease.validUntil = true, number, 1<<60
-	return NewTerm(number, Deps{Settings: settings, Policy: config.DefaultPolicy(), Lease: lease, Clock: clock, Log: log, Metrics: NewMetrics(), Unreached: func() int { return 0 }})
+	return NewTerm(number, Deps{Settings: settings, Policy: config.DefaultPolicy(), Lease: lease, Clock: clock, Log: log, Metrics: NewMetrics(), Unreached: func() int { return 0 }, PeerInReach: func() bool { return false }})
 }
 
 type modelStore struct {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -27,6 +27,8 @@
 	Metrics  *Metrics
 	// Unreached counts the other controllers that cannot be reached.
 	Unreached func() int
+	// PeerInReach tells whether any other controller answers.
+	PeerInReach func() bool
 }
 
 // Term is one node's time as leader. What it knows is gone with it.
@@ -106,7 +108,7 @@
 		}
 	}
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop} {
+	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop, t.lagLoop} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
