Start as a node of use; test restarts under late saves

A node that was just started counts as healthy for as long as one that just lost its leader: when all are restarted, the load balancer knows them again before one of them leads. The lease test holds commits back and restarts processes between a claim and its outcome; it fails when a save is recognised by holder and incarnation alone.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -44,7 +44,9 @@
 	}
 	c.deps.Unreached, c.deps.PeerInReach = c.peers.Unreached, c.peers.ReachesAny
 	c.lastWorker.Store(-1 << 50)
-	c.lastUseful.Store(-1 << 50)
+	// A node begins as if it had just been of use: when all were restarted, the
+	// load balancer is to know them again by the time one of them leads.
+	c.lastUseful.Store(int64(clock.Steady()))
 	lease.Connected = func() bool {
 		return len(s.Others) == 0 || c.peers.ReachesAny() || clock.Steady()-units.Micros(c.lastWorker.Load()) < linkFresh
 	}
--- a/internal/coordination/lease_test.go
+++ b/internal/coordination/lease_test.go
@@ -51,8 +51,10 @@
 }
 
 // At no moment do two nodes hold the lease, whatever the nodes' clocks, their
-// pauses, the state service's outages and commits without an answer; and terms
-// only go up.
+// pauses, the state service's outages, and commits without an answer or that
+// come late; and terms only go up. A process that is back at once, between its
+// claim and the outcome too, never goes on in a term of its former self: the
+// term must tell a worker's report to it from one to the other.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
@@ -71,14 +73,22 @@
 				rate: rapid.Int64Range(0, 500).Draw(t, "rate")}
 			nodes = append(nodes, &leaseNode{newLeaseNode(name, server, clock, uint64(i)), clock})
 		}
+		late := rapid.SliceOfN(rapid.IntRange(0, 3), 13, 13).Draw(t, "late")
+		state.Late = func(n int) bool { return late[n%13] == 0 }
+		flush := rapid.SliceOfN(rapid.IntRange(0, 2), 17, 17).Draw(t, "carried out")
+		owners := map[uint64]*FleetLease{}
+		step := 0
 		top := uint64(0)
 		for range rapid.IntRange(10, 60).Draw(t, "steps") {
 			truth += units.Micros(rapid.SampledFrom([]int64{10, 300, 700, 2900, 3100, 3400, 9000}).Draw(t, "ms")) * units.Millisecond
 			i := rapid.IntRange(0, 2).Draw(t, "node")
-			if rapid.IntRange(0, 19).Draw(t, "restart") == 0 {
+			if rapid.IntRange(0, 7).Draw(t, "restart") == 0 {
 				nodes[i].lease = newLeaseNode(nodes[i].lease.node, server, nodes[i].clock, uint64(100+calls))
 			}
 			nodes[i].step(ctx)
+			if step++; flush[step%17] == 0 {
+				state.Flush()
+			}
 			holders := 0
 			for _, n := range nodes {
 				if term := n.lease.Term(); n.lease.Valid(term) {
@@ -87,6 +97,10 @@
 						t.Fatalf("term %d holds after term %d", term, top)
 					}
 					top = term
+					if owner := owners[term]; owner != nil && owner != n.lease {
+						t.Fatalf("term %d was another process's", term)
+					}
+					owners[term] = n.lease
 				}
 			}
 			if holders > 1 {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -23,6 +23,9 @@
 	Refuse func(method, path string) bool
 	// Silent carries a commit out and then does not answer it.
 	Silent func(commit int) bool
+	// Late holds a commit back, unanswered, until Flush carries it out.
+	Late func(commit int) bool
+	held []protocol.Txn
 }
 
 // NewState makes an empty state service.
@@ -82,6 +85,17 @@
 	return answer, len(answer.Failed) == 0
 }
 
+// Flush carries out the commits that were held back.
+func (s *State) Flush() {
+	s.mu.Lock()
+	held := s.held
+	s.held = nil
+	s.mu.Unlock()
+	for _, txn := range held {
+		s.Apply(txn)
+	}
+}
+
 // ServeHTTP implements the parts of the protocol that controllers use.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.Refuse != nil && s.Refuse(r.Method, r.URL.Path) {
@@ -96,11 +110,18 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		answer, ok := s.Apply(txn)
 		s.mu.Lock()
 		s.commits++
 		n := s.commits
+		late := s.Late != nil && s.Late(n)
+		if late {
+			s.held = append(s.held, txn)
+		}
 		s.mu.Unlock()
+		if late {
+			panic(http.ErrAbortHandler)
+		}
+		answer, ok := s.Apply(txn)
 		if s.Silent != nil && s.Silent(n) {
 			panic(http.ErrAbortHandler)
 		}
