Announce the term to machines that have not reported yet

The new leader now sends an empty list of direct commands to the machines that records name and that have not reported after a second.

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -26,6 +26,7 @@
 	Type     string
 	Zone     string
 	Spot     bool
+	Endpoint string // as the cloud lists it
 	Size     units.Resources
 	Cache    units.Amount
 	Used     units.Resources
--- /dev/null
+++ b/internal/coordination/announce.go
@@ -0,0 +1,107 @@
+package coordination
+
+import (
+	"context"
+	"sync"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/transport"
+	"dunestand/internal/units"
+)
+
+const (
+	announceAfter  = units.Second // workers that report often have come by then
+	announceAgain  = 4 * units.Second
+	announceAtOnce = 4
+	announceCall   = 1500 * units.Millisecond
+	announceTries  = 2
+)
+
+// announceLoop tells the machines that records name, and that have not reported
+// yet, which term it is: by an empty list of direct commands, which has no
+// effect at any later time but to show the worker our term. The answer is a
+// report that settles what the machine holds, and the worker looks for the new
+// leader at once instead of when its next report is due.
+func (t *Term) announceLoop(ctx context.Context) {
+	caller := transport.NewCaller(protocol.MaxBody)
+	at := map[string]units.Micros{}
+	tries := map[string]int{}
+	slots := make(chan struct{}, announceAtOnce)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for wait := announceAfter; pause(ctx, wait); wait = cloudTick {
+		if !t.Lease.Valid(t.number) {
+			continue
+		}
+		open, endpoints := t.unannounced()
+		if !open {
+			return
+		}
+		now := t.Clock.Steady()
+		for _, id := range sortedKeys(endpoints) {
+			if tries[id] >= announceTries || tries[id] > 0 && now-at[id] < announceAgain {
+				continue
+			}
+			tries[id]++
+			at[id] = now
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				t.announce(ctx, caller, id, endpoints[id])
+				<-slots
+			}()
+		}
+	}
+}
+
+// unannounced gives the endpoints of machines that are in doubt and have not
+// reported in this term, and whether any machine is in doubt at all.
+func (t *Term) unannounced() (open bool, endpoints map[string]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	endpoints = map[string]string{}
+	doubtful := t.doubtful()
+	for id := range doubtful {
+		if m := t.ledger.Machines[id]; m != nil && !m.Seen && !m.Releasing && m.Endpoint != "" {
+			endpoints[id] = m.Endpoint
+		}
+	}
+	return len(doubtful) > 0, endpoints
+}
+
+func (t *Term) announce(ctx context.Context, caller *transport.Caller, id, endpoint string) {
+	session := uint64(1) // of most machines; else the answer tells
+	for range 2 {
+		body := protocol.Encode(protocol.DirectCommands{Term: t.number, Session: session, Commands: []protocol.Command{}})
+		status, raw, err := caller.Post(ctx, endpoint, protocol.PathCommands, body, announceCall)
+		if err != nil {
+			t.Log.Debug("machine not told of the term", "machine", id, "error", err)
+			return
+		}
+		r, err := protocol.ParseReport(raw)
+		if err != nil || r.Machine != id {
+			return
+		}
+		if status == 200 {
+			t.announced(r)
+			return
+		}
+		session = r.Session
+	}
+}
+
+// announced takes in the report that a machine sent for direct commands. Only
+// the first word of a machine may come this way: once it has reported by
+// itself, an answer may be on its way to it that this report does not show.
+func (t *Term) announced(r *protocol.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.ledger.Machines[r.Machine]; m != nil && !m.Seen && t.Lease.Valid(t.number) {
+		t.observe(r, t.Clock.Steady())
+	}
+}
--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -129,7 +129,7 @@
 			t.Log.Debug("machine listed", "machine", l.ID, "type", l.Type, "zone", l.Zone, "stage", l.Stage)
 		}
 		if !m.Seen {
-			m.Stage = l.Stage
+			m.Stage, m.Endpoint = l.Stage, l.Endpoint
 		}
 		if l.Stage == protocol.MachineFailed && !m.Releasing {
 			// It has stopped on its own: nothing runs there any more. The
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -239,3 +239,29 @@
 		}
 	})
 }
+
+// A machine's answer to the announcement settles it, but only as its first word
+// in the term. Once it has reported by itself, a start may be on its way to it
+// that such a report does not show; taking the start for lost would run the task
+// twice.
+func TestAnnouncementIsOnlyAFirstWord(t *testing.T) {
+	term, clock := guardTerm(t, 2)
+	j := term.ledger.Jobs["j-000001"]
+	j.Doubts["i-000001"] = true
+	term.ledger.Machine("i-000001", "m", "a", true, clock.now)
+	term.announced(beat("i-000001", 1, 5, 7))
+	if len(j.Doubts) > 0 {
+		t.Error("a report that shows this term does not settle the doubt")
+	}
+	if out := term.exchange(beat("i-000001", 1, 6, 7)); len(out) != 2 || out[0].Verb != protocol.Start {
+		t.Fatalf("no starts: %v", out)
+	}
+	term.announced(beat("i-000001", 1, 7, 7))
+	if len(j.Live) != 2 {
+		t.Error("starts that are on their way are taken for lost")
+	}
+	// A machine that the ledger does not know is not brought in this way.
+	if term.announced(beat("i-000009", 1, 1, 7)); term.ledger.Machines["i-000009"] != nil {
+		t.Error("an unknown machine is taken in")
+	}
+}
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -104,6 +104,12 @@
 	deaf          bool // its reports arrive, answers do not reach it
 }
 
+// told is a worker's answer to an announcement, on its way.
+type told struct {
+	to     *Term
+	report *protocol.Report
+}
+
 type model struct {
 	t         *rapid.T
 	clock     *manualClock
@@ -117,6 +123,7 @@
 	jobs      map[string]int     // tasks of each job submitted
 	completed map[taskKey]bool
 	finals    map[string]protocol.Stage
+	told      []told
 	calm      bool // all troubles are over
 }
 
@@ -161,7 +168,8 @@
 	}
 }
 
-func (m *model) reportOf(w *modelWorker) {
+// report makes a worker's report of now.
+func (w *modelWorker) report() *protocol.Report {
 	w.seq++
 	r := &protocol.Report{Machine: w.id, Type: "m", Zone: "a", Spot: true, Session: w.session, Seq: w.seq, Term: w.token}
 	keys := slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index })
@@ -169,6 +177,11 @@
 		task := w.tasks[k]
 		r.Tasks = append(r.Tasks, protocol.TaskReport{Job: k.job, Index: k.index, Attempt: task.attempt, Stage: task.stage, Cause: task.cause})
 	}
+	return r
+}
+
+func (m *model) reportOf(w *modelWorker) {
+	r := w.report()
 	w.awaited, w.sentAt, w.reportSession, w.answer = true, m.clock.now, w.session, nil
 	if !m.calm && rapid.IntRange(0, 5).Draw(m.t, "report copied") == 0 {
 		m.held = append(m.held, r) // the copy comes at any later time
@@ -412,6 +425,30 @@
 	}
 }
 
+// announce tells a worker the term; its answer may come late.
+func (m *model) announce() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if !w.alive || w.deaf {
+		return
+	}
+	w.token = m.leader.number
+	m.leader.ledger.Machine(w.id, "m", "a", true, m.clock.now)
+	m.told = append(m.told, told{m.leader, w.report()})
+	if rapid.Bool().Draw(m.t, "answered at once") {
+		m.hearTold()
+	}
+}
+
+// hearTold brings the leader the answers to its announcements.
+func (m *model) hearTold() {
+	for _, a := range m.told {
+		if a.to == m.leader {
+			a.to.announced(a.report)
+		}
+	}
+	m.told = nil
+}
+
 // deafen cuts a worker off from answers, or ends that.
 func (m *model) deafen() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
@@ -477,8 +514,8 @@
 		}
 		m.begin()
 		actions := []func(){m.submit, m.report, m.report, m.report, m.deliver, m.deliver, m.deliver, m.work, m.work,
-			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen}
-		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17}
+			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen, m.announce, m.hearTold}
+		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19}
 		for range rapid.IntRange(50, 250).Draw(t, "steps") {
 			actions[rapid.SampledFrom(weights).Draw(t, "action")]()
 			m.check()
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -174,6 +174,19 @@
 	Commands []Command `cbor:"orders"`
 }
 
+// PathCommands is a worker's path for direct commands.
+const PathCommands = "/orders"
+
+// MaxBody is the largest body of an answer, in bytes.
+const MaxBody = 64 << 10
+
+// DirectCommands are sent straight to a worker, which answers with a report.
+type DirectCommands struct {
+	Term     uint64    `cbor:"baton"`
+	Session  uint64    `cbor:"shift"`
+	Commands []Command `cbor:"orders"`
+}
+
 // Redirect names the node that a worker should report to.
 type Redirect struct {
 	Leader string `cbor:"foreman,omitempty"`
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -35,13 +35,34 @@
 // Do sends one request and reads the whole answer. An error means that the
 // request may or may not have been carried out.
 func (c *Client) Do(ctx context.Context, method, path string, body []byte, limit units.Micros) (int, []byte, error) {
+	return do(ctx, c.http, method, c.base+path, body, limit, c.most)
+}
+
+// Caller sends single requests to many servers, each on a connection of its own.
+type Caller struct {
+	http *http.Client
+	most int64
+}
+
+// NewCaller makes a caller that reads answers of at most maxAnswer bytes.
+func NewCaller(maxAnswer int64) *Caller {
+	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &Caller{http: &http.Client{Transport: t}, most: maxAnswer}
+}
+
+// Post sends one request to the server at addr (IP:port).
+func (c *Caller) Post(ctx context.Context, addr, path string, body []byte, limit units.Micros) (int, []byte, error) {
+	return do(ctx, c.http, http.MethodPost, "http://"+addr+path, body, limit, c.most)
+}
+
+func do(ctx context.Context, client *http.Client, method, url string, body []byte, limit units.Micros, most int64) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	var r io.Reader
 	if body != nil {
 		r = bytes.NewReader(body)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, r)
+	req, err := http.NewRequestWithContext(ctx, method, url, r)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -51,17 +72,17 @@
 		// thinks that safe. Here a repeat is the caller's decision alone.
 		req.GetBody = nil
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, c.most+1))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
 	if err != nil {
 		return 0, nil, err
 	}
-	if int64(len(answer)) > c.most {
-		return 0, nil, fmt.Errorf("answer of %s is over %d bytes", path, c.most)
+	if int64(len(answer)) > most {
+		return 0, nil, fmt.Errorf("answer of %s is over %d bytes", url, most)
 	}
 	return resp.StatusCode, answer, nil
 }
