Keep machines of a cut zone that a new leader has not heard

Only booting ones are given up so; running ones after the workers' lease and two minutes. Ruled out: the rule for silent machines, which kept the zone.

--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -214,8 +214,12 @@
 		switch {
 		case m.Seen && m.SetAside && len(m.Attempts) == 0:
 			mark(m, "faulty")
-		case !m.Seen && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
+		case !m.Seen && m.Stage != protocol.MachineRunning && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
 			mark(m, "never came up")
+		case !m.Seen && now-max(t.claimedAt, m.Rented) > withDrift(t.Settings.Fleet.Workers.Lease(), zoneCutMost):
+			// It runs, the cloud says, but has not been heard in this term: its
+			// zone may be cut off, for a while.
+			mark(m, "silent")
 		case silent[id]:
 			// Waiting for its lease would take longer, and what is known to
 			// be gone can start elsewhere.
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// A leader that begins while a zone is cut off knows the zone's machines from
+// the cloud's list alone. They run: on a day of our own 147 of them were given
+// away, as if they had never come up.
+func TestUnheardZoneIsNotGivenAway(t *testing.T) {
+	term, clock := guardTerm(t, 1)
+	for i, stage := range []string{protocol.MachineRunning, protocol.MachineRunning, protocol.MachineBooting} {
+		m := term.ledger.Machine(fmt.Sprintf("i-%06d", i), "m", "cut", false, clock.now-500*units.Second)
+		m.Stage = stage
+	}
+	clock.now += 90 * units.Second
+	if names := term.unwanted(clock.now); len(names) != 1 || names[0] != "i-000002" {
+		t.Errorf("to be released: %v", names)
+	}
+	clock.now += 200 * units.Second
+	if names := term.unwanted(clock.now); len(names) != 3 {
+		t.Errorf("to be released at last: %v", names)
+	}
+}
+
 // A machine whose reports arrive but which carries nothing out gets no more
 // work and is returned; what was sent there is waiting again. On one that hears
 // again nothing is held against it.
