--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -168,7 +168,7 @@
 // next to a round: a machine that reports the end of a task has the next one
 // in the answer, however large the fleet is.
 func (t *Term) fill(m *bookkeeping.Machine, now units.Micros) {
-	if !t.offered || len(t.queue) == 0 || !t.accepts(m, now) {
+	if !t.offered || len(t.queue) == 0 || m.Free().CPU <= 0 || !t.accepts(m, now) {
 		return
 	}
 	s := Snapshot{Batch: batchMost, Partial: true}
