--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -301,3 +301,27 @@
 		}
 	}
 }
+
+// A job waits for tasks to end by themselves only where enough of them do: in a
+// small fleet its tasks would start late for nothing.
+func TestPatienceNeedsTurnover(t *testing.T) {
+	term, clock := guardTerm(t, 10)
+	j := term.ledger.Jobs["j-000001"]
+	j.Spec.Priority = protocol.High
+	for range 20 {
+		term.turnover.pass(clock.now)
+		clock.now += units.Second
+		term.turnover.freed = cpus(4).CPU // a second, 8 in the patience of 2 s
+	}
+	j.Since = clock.now
+	if term.patient(j, clock.now) {
+		t.Error("a job of ten processors waits for eight")
+	}
+	j.Spec.Tasks = 7
+	if !term.patient(j, clock.now) {
+		t.Error("a job of seven processors does not wait for eight")
+	}
+	if term.patient(j, clock.now+2*units.Second) {
+		t.Error("it waits for ever")
+	}
+}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -184,6 +184,7 @@
 	t.Log.Debug("task ended", "task", a.Task(), "attempt", a.Number, "machine", m.ID, "cause", task.Cause, "saved", task.Saved)
 	switch task.Cause {
 	case protocol.CauseDone:
+		t.turnover.freed += j.Spec.Need.CPU
 		t.ledger.Completed(a, now)
 		t.ledger.Done(j, key.Index, now)
 		if j.Complete() {
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -300,10 +300,30 @@
 	return j.DoneCount() == 0 && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
 }
 
-// patient tells whether a job has not waited long enough to have tasks of
-// others stopped for it. In a large fleet tasks end all the time, and what is
-// stopped has to be done again: a job first waits for a part of what the users'
-// aims allow.
+// turnover is what tasks that end by themselves leave, as observed.
+type turnover struct {
+	freed     units.Amount // since then
+	since     units.Micros
+	perSecond units.Amount // processors, moving mean
+}
+
+// pass brings the mean up to date.
+func (o *turnover) pass(now units.Micros) {
+	if passed := now - o.since; passed >= units.Second {
+		rate := o.freed * units.Amount(units.Second/units.Millisecond) / units.Amount(passed/units.Millisecond)
+		o.perSecond, o.freed, o.since = (3*o.perSecond+rate)/4, 0, now
+	}
+}
+
+// within is what tasks are expected to leave in a time.
+func (o *turnover) within(d units.Micros) units.Amount {
+	return o.perSecond * units.Amount(d/units.Millisecond) / units.Amount(units.Second/units.Millisecond)
+}
+
+// patient tells whether a job waits before tasks of others are stopped for it.
+// What is stopped has to be done again, and in a large fleet tasks end all the
+// time: where they leave room enough for the job in a part of what the users'
+// aims allow, it waits that long.
 func (t *Term) patient(j *bookkeeping.Job, now units.Micros) bool {
 	patience := 2 * units.Second
 	if j.Spec.Priority < protocol.High {
@@ -313,7 +333,7 @@
 	} else if due := t.Settings.Fleet.StartDue(j.Spec.Class); due > 0 {
 		patience = due / 8
 	}
-	return now-j.Since < patience
+	return now-j.Since < patience && t.turnover.within(patience) >= j.Spec.Need.CPU*units.Amount(j.Pending())
 }
 
 // placeable tells whether tasks of a job may be placed now.
@@ -343,6 +363,7 @@
 func (t *Term) snapshot(now units.Micros, answering *bookkeeping.Machine) (Snapshot, *snapshotRefs) {
 	var s Snapshot
 	refs := new(snapshotRefs)
+	t.turnover.pass(now)
 	teams := t.teamViews(&s)
 	waiting := 0
 	committed := make([]units.Resources, len(s.Teams))
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -47,6 +47,7 @@
 	attempts    uint64
 	saves       uint64
 	hires       uint64
+	turnover    turnover
 	lastRound   units.Micros
 	lastWork    units.Micros                              // when there was an unfinished job
 	roundCost   units.Micros                              // moving mean
