--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -15,7 +15,8 @@
 	"dunestand/internal/units"
 )
 
-// refusedController is a node whose only peer, which leads, refuses its links.
+// refusedController is a node whose only peer, which leads, refuses its links,
+// and whose state service does not answer.
 func refusedController(t *testing.T) (*Controller, *manualClock) {
 	t.Helper()
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
@@ -24,8 +25,14 @@
 	}
 	addr := closed.Addr().String()
 	closed.Close()
+	hanging, err := net.Listen("tcp", "127.0.0.1:0") // accepts nothing: requests wait
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { hanging.Close() })
 	clock := &manualClock{now: 100 * units.Second}
 	s := modelSettings()
+	s.Services.State = hanging.Addr().String()
 	s.Others = []config.Peer{{Node: "leader", Endpoint: addr}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	c := NewController(s, config.DefaultPolicy(), clock, rand.New(rand.NewPCG(1, 1)), log)
