Accept jobs without a leader: an inbox that the leader takes in

Now such a node puts the job into inbox/ by a transaction that fails if any record tells of the job; the leader looks there once a second and before each 404, and moves it to the job's own record in one transaction. A leader that has not answered for 3 s is not waited for.

Ruled out: answering live from the inbox (a leftover could make a finished job pending); until its own record is saved the leader says 503.

What is left: all controllers down, state service out, users waiting 5 s on a frozen node.

--- /dev/null
+++ b/internal/bookkeeping/inbox.go
@@ -0,0 +1,59 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"strings"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// PrefixInbox holds jobs that a controller accepted while it could not reach a
+// leader. Only the leader writes jobs' own records; it takes the inbox in.
+const PrefixInbox = "inbox/"
+
+// KeyInbox is the key of a job that no leader has taken in yet.
+func KeyInbox(job string) string { return PrefixInbox + job }
+
+// Arrival is a job in the inbox.
+type Arrival struct {
+	Spec      protocol.JobSpec
+	Submitted units.Micros // time of day
+}
+
+// ArrivalTxn is the transaction that accepts a job without a leader. It is
+// carried out only if no record tells of the job: one that comes late, after
+// the job was accepted otherwise or is over, fails.
+func ArrivalTxn(a Arrival) protocol.Txn {
+	id := a.Spec.ID
+	return protocol.Txn{
+		If:   []protocol.Condition{{Key: KeyInbox(id)}, {Key: KeyJob(id)}, {Key: KeyFinal(id)}},
+		Then: []protocol.Change{{Set: KeyInbox(id), Value: protocol.Encode(newJob(a.Spec, a.Submitted).record("", nil))}},
+	}
+}
+
+// ParseArrival reads a record of the inbox.
+func ParseArrival(item protocol.Item) (Arrival, error) {
+	id, ok := strings.CutPrefix(item.Key, PrefixInbox)
+	if !ok {
+		return Arrival{}, fmt.Errorf("record %s: is not in the inbox", item.Key)
+	}
+	j, _, err := parseRecord(KeyJob(id), item.Value)
+	if err != nil {
+		return Arrival{}, fmt.Errorf("record %s: %w", item.Key, err)
+	}
+	return Arrival{j.Spec, j.Submitted}, nil
+}
+
+// TakeIn adds a job from the inbox, unless it is known already. The next save
+// of the job takes it out of there.
+func (l *Ledger) TakeIn(a Arrival, now units.Micros) {
+	j := l.Jobs[a.Spec.ID]
+	if j == nil {
+		j = l.NewJob(a.Spec, a.Submitted, now)
+	}
+	if !j.arrived {
+		j.arrived = true
+		j.Changed(now, true)
+	}
+}
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -65,6 +65,7 @@
 	names        int             // bytes that these names take in the record
 	nameRoom     int             // and may take
 	stored       bool            // a record exists in the state service
+	arrived      bool            // it is in the inbox there, and to be taken out
 	version      uint64
 	saving       bool
 	unsaved      map[int]bool // done, but not yet durably
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -129,10 +129,8 @@
 		Types: map[string]protocol.MachineType{}, classes: map[string]float64{},
 		doubts: map[string][]*Job{}, inDoubt: map[*Job]bool{}}
 	for _, t := range teams {
-		limit := func(f float64) units.Amount { return units.AmountOf(f) }
-		l.Teams[t.Name] = &Team{Name: t.Name,
-			Guarantee: units.Resources{CPU: limit(t.CPUs), GPU: limit(t.GPUs), Memory: unlimited},
-			Limit:     units.Resources{CPU: limit(t.CPUsMax), GPU: limit(t.GPUsMax), Memory: unlimited}}
+		l.Teams[t.Name] = &Team{Name: t.Name, Limit: LimitOf(t),
+			Guarantee: units.Resources{CPU: units.AmountOf(t.CPUs), GPU: units.AmountOf(t.GPUs), Memory: unlimited}}
 	}
 	return l
 }
@@ -140,6 +138,11 @@
 // unlimited stands for the memory of a team, which has no limit.
 const unlimited = units.Amount(1) << 60
 
+// LimitOf is what a team's tasks may use at any time.
+func LimitOf(t config.Team) units.Resources {
+	return units.Resources{CPU: units.AmountOf(t.CPUsMax), GPU: units.AmountOf(t.GPUsMax), Memory: unlimited}
+}
+
 // SetTypes takes over the cloud's catalog.
 func (l *Ledger) SetTypes(types []protocol.MachineType) {
 	for _, t := range types {
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -23,6 +23,7 @@
 	waiters  []chan struct{}
 	key      string
 	cancel   bool
+	arrived  bool
 }
 
 // SaveLimits bounds a Save.
@@ -107,6 +108,9 @@
 			break
 		}
 		part, changes := j.part(id)
+		if part.arrived = j.arrived; part.arrived {
+			changes = append(changes, protocol.Change{Delete: KeyInbox(j.Spec.ID)})
+		}
 		for _, c := range changes {
 			size += len(c.Value) + 64
 		}
@@ -211,6 +215,7 @@
 		j := p.job
 		j.saving, j.stored, j.version = false, true, revision
 		j.CancelStored = j.CancelStored || p.cancel
+		j.arrived = j.arrived && !p.arrived
 		clear(j.inSave)
 		for _, m := range p.machines {
 			if _, named := j.machines[m]; named {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -25,6 +25,7 @@
 	term       atomic.Pointer[Term]
 	lastWorker atomic.Int64 // steady time of the last worker's report
 	lastUseful atomic.Int64 // steady time when it last led or reached the leader
+	arrivals   arrivals
 	bypassed   atomic.Int64 // steady time since when another node leads that refuses this one's links; 0: none does
 }
 
@@ -172,10 +173,17 @@
 	if err != nil {
 		return Refuse(http.StatusBadRequest, err.Error())
 	}
-	if t := c.leading(); t != nil {
-		return t.Submit(ctx, spec)
+	var r transport.Response
+	if t := c.leading(); t == nil {
+		r = c.forward(ctx, forward, protocol.FrameSubmit, "", body)
+	} else if r = t.Submit(ctx, spec); t.Ready() {
+		return r
+	}
+	if forward && r.Status == http.StatusServiceUnavailable {
+		return c.acceptAlone(ctx, spec, r)
 	}
-	return c.forward(ctx, forward, protocol.FrameSubmit, "", body)
+	c.arrivals.alone.Store(0)
+	return r
 }
 
 func (c *Controller) poll(ctx context.Context, id string, forward bool) transport.Response {
@@ -204,9 +212,10 @@
 }
 
 // forward passes a request on to the leader, once: a request that came from
-// another controller is not passed on again.
+// another controller is not passed on again. A leader that has not answered for
+// a while is not waited for.
 func (c *Controller) forward(ctx context.Context, allowed bool, kind protocol.FrameKind, id string, body []byte) transport.Response {
-	if leader := c.deps.Lease.Leader(); allowed && leader != "" && leader != c.deps.Settings.Node {
+	if leader := c.deps.Lease.Leader(); allowed && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
 		r, err := c.peers.Forward(ctx, leader, kind, id, body)
 		if err == nil {
 			return r
--- /dev/null
+++ b/internal/coordination/inbox.go
@@ -0,0 +1,155 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/transport"
+	"dunestand/internal/units"
+)
+
+// Submissions are passed on to the leader. A controller that reaches none may
+// still reach the state service: it then puts a job into the inbox there, and
+// the leader, or the next one, takes it in. A change of leader takes several
+// seconds, and users would be refused for all of that time.
+
+const (
+	inboxEvery  = units.Second
+	arrivalCall = 1200 * units.Millisecond
+	typesAge    = 60 * units.Second
+)
+
+// arrivals is what a node needs to accept jobs without a leader.
+type arrivals struct {
+	alone atomic.Int64 // jobs accepted so since it last reached a leader
+	mu    sync.Mutex
+	types map[string]protocol.MachineType
+	until units.Micros
+}
+
+// machineTypes gives the types that the last leader stored.
+func (c *Controller) machineTypes(ctx context.Context) map[string]protocol.MachineType {
+	a := &c.arrivals
+	now := c.deps.Clock.Steady()
+	a.mu.Lock()
+	types := a.types
+	if now >= a.until {
+		types = nil
+	}
+	a.mu.Unlock()
+	if types != nil {
+		return types
+	}
+	item, ok, err := c.deps.Store.Get(ctx, bookkeeping.KeyCatalog, arrivalCall)
+	var catalog protocol.Catalog
+	if err != nil || !ok || protocol.Decode(item.Value, &catalog) != nil {
+		return nil
+	}
+	types = map[string]protocol.MachineType{}
+	for _, t := range catalog.Types {
+		types[t.Name] = t
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.types, a.until = types, now+typesAge
+	return types
+}
+
+// acceptAlone puts a job into the inbox, if it is certain that the job can be
+// taken; otherwise the refusal stands, and a leader decides when there is one.
+func (c *Controller) acceptAlone(ctx context.Context, spec *protocol.JobSpec, refused transport.Response) transport.Response {
+	store, lease := c.deps.Store, c.deps.Lease
+	if lease.Unanswered() >= lease.timing.Length || !store.Spare() || !store.WritesSpare() {
+		return refused
+	}
+	if status, _ := judge(spec, c.deps.Settings, c.machineTypes(ctx)); status != 0 {
+		return refused
+	}
+	if c.arrivals.alone.Add(1) > int64(maxJobs(c.deps.Settings)/(1+len(c.deps.Settings.Others))) {
+		return Refuse(http.StatusTooManyRequests, "too many jobs wait for a leader")
+	}
+	_, err := store.Commit(ctx, bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: *spec, Submitted: c.deps.Clock.Wall()}), false, arrivalCall)
+	var conflict *bookkeeping.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		// It is known already: a repeat, or the leader took it after all.
+		if r := PollStored(ctx, store, spec.ID); r.Status == http.StatusOK {
+			return r
+		}
+		return refused
+	case err != nil:
+		return refused
+	}
+	c.deps.Log.Info("job accepted without a leader", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
+	return stateAnswer(http.StatusCreated, protocol.JobState{UID: spec.ID, Stage: protocol.StagePending})
+}
+
+// inboxLoop takes in what other controllers accepted.
+func (t *Term) inboxLoop(ctx context.Context) {
+	for wait := units.Micros(0); pause(ctx, wait); wait = inboxEvery {
+		if !t.Lease.Valid(t.number) || !t.Store.Spare() {
+			continue
+		}
+		list, err := t.Store.List(ctx, bookkeeping.PrefixInbox, "", stateCall)
+		if err != nil {
+			t.Log.Debug("inbox not read", "error", err)
+			continue
+		}
+		t.takeIn(ctx, list.Items)
+	}
+}
+
+// askInbox takes a single job in, if it is in the inbox.
+func (t *Term) askInbox(ctx context.Context, id string) error {
+	item, ok, err := t.Store.Get(ctx, bookkeeping.KeyInbox(id), arrivalCall)
+	if err == nil && ok {
+		return t.takeIn(ctx, []protocol.Item{item})
+	}
+	return err
+}
+
+// takeIn adds jobs from the inbox to the ledger. One that is over has no more
+// use there: its user sent it again, and the leader was in reach then.
+func (t *Term) takeIn(ctx context.Context, items []protocol.Item) (unreadable error) {
+	var over protocol.Txn
+	t.mu.Lock()
+	for _, item := range items {
+		a, err := bookkeeping.ParseArrival(item)
+		if err != nil {
+			t.Log.Error("a job in the inbox is not readable; it is left there", "error", err)
+			unreadable = err
+			continue
+		}
+		if _, final := t.finals.get(a.Spec.ID); !final {
+			if t.ledger.Jobs[a.Spec.ID] == nil {
+				t.Log.Info("job taken in", "job", a.Spec.ID, "class", a.Spec.Class, "team", a.Spec.Team, "tasks", a.Spec.Tasks)
+			}
+			t.ledger.TakeIn(a, t.Clock.Steady())
+		} else if len(over.Then) < t.Settings.Fleet.State.TxnOps {
+			over.If = append(over.If, protocol.Condition{Key: item.Key, Version: item.Version})
+			over.Then = append(over.Then, protocol.Change{Delete: item.Key})
+		}
+	}
+	t.mu.Unlock()
+	if len(items) > 0 {
+		kick(t.kickSave)
+	}
+	if len(over.Then) > 0 {
+		if _, err := t.Store.Commit(ctx, over, false, stateCall); err != nil {
+			t.Log.Debug("inbox not cleared", "error", err) // by the next pass
+		}
+	}
+	return unreadable
+}
+
+// knows tells whether a job is live here.
+func (t *Term) knows(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.Jobs[id] != nil
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -34,6 +34,7 @@
 	pingEvery   = units.Second
 	pingFirst   = 150 * units.Millisecond  // until a peer answers
 	forwardWait = 1700 * units.Millisecond // users wait 2 s for a poll
+	submitWait  = 600 * units.Millisecond  // then the node can still accept a job by itself
 	linkFresh   = 3 * units.Second
 )
 
@@ -152,7 +153,11 @@
 	if err := l.link.Send(protocol.EncodeFrame(protocol.Frame{ID: id, Kind: kind, Job: job, Body: body})); err != nil {
 		return transport.Response{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardWait.Duration())
+	wait := forwardWait
+	if kind == protocol.FrameSubmit {
+		wait = submitWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	select {
 	case f, ok := <-answer:
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -109,7 +109,7 @@
 		}
 	}
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop, t.lagLoop, t.announceLoop} {
+	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop, t.lagLoop, t.announceLoop, t.inboxLoop} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
 	"dunestand/internal/protocol"
 	"dunestand/internal/transport"
 	"dunestand/internal/units"
@@ -70,7 +72,7 @@
 }
 
 // maxJobs bounds the jobs that are live at a time by the memory there is.
-func (t *Term) maxJobs() int { return int(t.Settings.Fleet.Resources.RAMMB * 80) }
+func maxJobs(s *config.Settings) int { return int(s.Fleet.Resources.RAMMB * 80) }
 
 // Submit accepts a job, durably, before it answers.
 func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) transport.Response {
@@ -90,12 +92,8 @@
 			if status != http.StatusServiceUnavailable {
 				// An id that is known already is known, whatever else the
 				// request now says.
-				f, ok, err := t.final(ctx, spec.ID)
-				if err != nil {
-					return unavailable("state service is out of reach")
-				}
-				if ok {
-					return finalAnswer(spec.ID, f)
+				if r := t.Poll(ctx, spec.ID); r.Status != http.StatusNotFound {
+					return r
 				}
 			}
 			return Refuse(status, why)
@@ -138,18 +136,27 @@
 
 // judge tells why a new job cannot be taken; status 0 if it can.
 func (t *Term) judge(spec *protocol.JobSpec) (int, string) {
-	team := t.ledger.Teams[spec.Team]
-	if team == nil {
+	status, why := judge(spec, t.Settings, t.ledger.Types)
+	if status == 0 && len(t.ledger.Jobs) >= maxJobs(t.Settings) {
+		return http.StatusTooManyRequests, "too many unfinished jobs"
+	}
+	return status, why
+}
+
+// judge tells why a job could never run, or why that is not known yet.
+func judge(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType) (int, string) {
+	i := slices.IndexFunc(s.Fleet.Teams, func(t config.Team) bool { return t.Name == spec.Team })
+	if i < 0 {
 		return http.StatusUnprocessableEntity, "crew: unknown team"
 	}
-	if team.Limit.Fits(spec.Need) == 0 {
+	if bookkeeping.LimitOf(s.Fleet.Teams[i]).Fits(spec.Need) == 0 {
 		return http.StatusUnprocessableEntity, "a task needs more than the team's limit"
 	}
-	if len(t.ledger.Types) == 0 {
+	if len(types) == 0 {
 		return http.StatusServiceUnavailable, "the machine types are not known yet"
 	}
 	fits := false
-	for name, typ := range t.ledger.Types {
+	for name, typ := range types {
 		for _, zone := range typ.Zones {
 			fits = fits || allowed(spec, name, zone, false) && bookkeeping.SizeOf(typ).Fits(spec.Need) > 0
 		}
@@ -157,10 +164,8 @@
 	switch {
 	case !fits:
 		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
-	case !bookkeeping.RecordFits(*spec, t.Settings.Fleet.State.ValueBytes()):
+	case !bookkeeping.RecordFits(*spec, s.Fleet.State.ValueBytes()):
 		return http.StatusUnprocessableEntity, "the job's texts are too long to be kept"
-	case len(t.ledger.Jobs) >= t.maxJobs():
-		return http.StatusTooManyRequests, "too many unfinished jobs"
 	}
 	return 0, ""
 }
@@ -182,7 +187,11 @@
 		}
 		return finalAnswer(id, f)
 	}
-	// It may have been submitted while the state service was asked.
+	if err := t.askInbox(ctx, id); err != nil {
+		return unavailable("state service is out of reach")
+	}
+	// It may have been submitted while the state service was asked, or just
+	// have been taken in.
 	if r, ok := t.pollLive(id); ok {
 		return r
 	}
@@ -218,7 +227,11 @@
 	j := t.ledger.Jobs[id]
 	if j == nil {
 		t.mu.Unlock()
-		return t.Poll(ctx, id) // over, or never accepted
+		r := t.Poll(ctx, id) // over, never accepted, or in the inbox until now
+		if t.knows(id) {
+			return unavailable("the job is being accepted")
+		}
+		return r
 	}
 	if !j.Accepted() {
 		t.mu.Unlock()
@@ -265,27 +278,48 @@
 	if !store.Spare() {
 		return unavailable("no leader")
 	}
-	// The live record first: a job moves from there to the final ones, so it
-	// is found in one of the two.
-	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), 800*units.Millisecond)
+	// From the inbox a job moves to the live records and from there to the final
+	// ones. It is looked for in the two latter first, since it is there nearly
+	// always; one that is in none of the three may have moved in between, and is
+	// then found by a second look.
+	if r, found := storedState(ctx, store, id); found {
+		return r
+	}
+	item, ok, err := store.Get(ctx, bookkeeping.KeyInbox(id), 800*units.Millisecond)
 	if err != nil {
 		return unavailable("state service is out of reach")
 	}
+	if ok {
+		if _, err := bookkeeping.ParseArrival(item); err != nil {
+			return unavailable("the job's record is not readable")
+		}
+		return stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: protocol.StagePending})
+	}
+	if r, found := storedState(ctx, store, id); found {
+		return r
+	}
+	return Refuse(http.StatusNotFound, "no such job")
+}
+
+// storedState looks for a job in the live and then in the final records.
+func storedState(ctx context.Context, store *bookkeeping.Store, id string) (transport.Response, bool) {
+	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), 800*units.Millisecond)
+	if err != nil {
+		return unavailable("state service is out of reach"), true
+	}
 	if ok {
 		jobs, err := bookkeeping.ParseJobs([]protocol.Item{item})
 		if err != nil {
-			return unavailable("the job's record is not readable")
+			return unavailable("the job's record is not readable"), true
 		}
-		return jobAnswer(http.StatusOK, jobs[0])
+		return jobAnswer(http.StatusOK, jobs[0]), true
 	}
 	f, ok, err := ReadFinal(ctx, store, id)
 	switch {
 	case errors.Is(err, bookkeeping.ErrRefused), errors.Is(err, bookkeeping.ErrUncertain):
-		return unavailable("state service is out of reach")
+		return unavailable("state service is out of reach"), true
 	case err != nil:
-		return unavailable("the job's record is not readable")
-	case !ok:
-		return Refuse(http.StatusNotFound, "no such job")
+		return unavailable("the job's record is not readable"), true
 	}
-	return finalAnswer(id, f)
+	return finalAnswer(id, f), ok
 }
