Know the leader without the state service; a late leader judges no silence

Cause: a node that lost the state service alone learnt of its successor only when the service came back, 30 to 45 s later, and refused its share of the users for up to 10 s and more. Peers now name themselves in their answers to pings if they lead, and a node without the state service goes by that after 2 s. And a leader whose own timers were late found reports that had waited for it; the machines that it came to last could count as silent. Now nobody's silence is judged until each has had time for a report.

Ruled out: going by the peers always; the record is fresher, 0.4 s against 1 s, while it can be read.

--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -257,6 +257,9 @@
 // their zone. A zone that is cut off from everything must not be given away.
 func (t *Term) silentMachines(now units.Micros) map[string]bool {
 	silent := map[string]bool{}
+	if now < t.judgeFrom {
+		return silent
+	}
 	var fleet health
 	zones := map[string]*health{}
 	report := t.Settings.Fleet.Workers.Report()
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -98,6 +98,21 @@
 	c.term.CompareAndSwap(t, nil)
 }
 
+// recordAge is for how long the fleet record, once read, tells who leads.
+const recordAge = 2 * units.Second
+
+// leader names the node that leads as far as this one knows: the one that the
+// record names, or, when this node has lost the state service and would not
+// learn of a change from there, the one that says so itself.
+func (c *Controller) leader() string {
+	if c.deps.Lease.Unanswered() > recordAge {
+		if node := c.peers.Leading(); node != "" {
+			return node
+		}
+	}
+	return c.deps.Lease.Leader()
+}
+
 // leading gives the term if this node leads it now.
 func (c *Controller) leading() *Term {
 	if t := c.term.Load(); t != nil && c.deps.Lease.Valid(t.number) {
@@ -140,8 +155,7 @@
 // while another node leads that it cannot pass requests on to, or while it is
 // itself cut off from the state service and all other controllers.
 func (c *Controller) health() transport.Response {
-	now, lease := c.deps.Clock.Steady(), c.deps.Lease
-	leader := lease.Leader()
+	now, lease, leader := c.deps.Clock.Steady(), c.deps.Lease, c.leader()
 	if t := c.leading(); t != nil && t.Ready() || c.peers.Reaches(leader) {
 		c.lastUseful.Store(int64(now))
 	}
@@ -194,7 +208,7 @@
 		return t.Poll(ctx, id)
 	}
 	r := c.forward(ctx, forward, protocol.FramePoll, id, nil)
-	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.deps.Lease.Leader()) &&
+	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.leader()) &&
 		c.deps.Lease.Unanswered() < c.deps.Lease.timing.Length {
 		return PollStored(ctx, c.deps.Store, id)
 	}
@@ -215,7 +229,7 @@
 // another controller is not passed on again. A leader that has not answered for
 // a while is not waited for.
 func (c *Controller) forward(ctx context.Context, allowed bool, kind protocol.FrameKind, id string, body []byte) transport.Response {
-	if leader := c.deps.Lease.Leader(); allowed && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
+	if leader := c.leader(); allowed && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
 		r, err := c.peers.Forward(ctx, leader, kind, id, body)
 		if err == nil {
 			return r
@@ -226,7 +240,11 @@
 }
 
 func (c *Controller) answerPeer(ctx context.Context, data []byte) ([]byte, error) {
-	return answerFrame(ctx, data, func(ctx context.Context, f protocol.Frame) transport.Response {
+	leading := ""
+	if c.leading() != nil {
+		leading = c.deps.Settings.Node
+	}
+	return answerFrame(ctx, data, leading, func(ctx context.Context, f protocol.Frame) transport.Response {
 		switch f.Kind {
 		case protocol.FrameSubmit:
 			return c.submit(ctx, f.Body, false)
@@ -242,7 +260,7 @@
 // known. A leader that refuses this node's links may serve workers all the
 // same; the record tells while it is renewed.
 func (c *Controller) whoLeads() string {
-	leader := c.deps.Lease.Leader()
+	leader := c.leader()
 	if leader == c.deps.Settings.Node || !c.peers.Reaches(leader) && !(c.peers.Refused(leader) && c.deps.Lease.Renewed()) {
 		return ""
 	}
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -16,6 +16,7 @@
 	"dunestand/internal/config"
 	"dunestand/internal/protocol"
 	"dunestand/internal/standin"
+	"dunestand/internal/transport"
 	"dunestand/internal/units"
 )
 
@@ -212,3 +213,46 @@
 		t.Errorf("live again: %v", live)
 	}
 }
+
+// A node that has lost the state service still thinks that the former leader
+// leads, itself perhaps. It learns of the present one from that one's answers
+// to its pings, passes requests on to it and sends workers there.
+func TestLeaderIsKnownWithoutTheStateService(t *testing.T) {
+	mesh, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	go func() {
+		_ = transport.ServeMesh(t.Context(), mesh, log, func(ctx context.Context, frame []byte) ([]byte, error) {
+			return answerFrame(ctx, frame, "next", func(context.Context, protocol.Frame) transport.Response {
+				return stateAnswer(http.StatusOK, protocol.JobState{UID: "j-000001", Stage: protocol.StagePending})
+			})
+		})
+	}()
+	clock := &manualClock{now: 100 * units.Second}
+	s := modelSettings()
+	s.Services.State = "127.0.0.1:1"
+	s.Others = []config.Peer{{Node: "next", Endpoint: mesh.Addr().String()}}
+	c := NewController(s, config.DefaultPolicy(), clock, rand.New(rand.NewPCG(1, 1)), log)
+	l := c.deps.Lease
+	l.answeredAt = clock.now
+	l.watch.saw(bookkeeping.Lease{Holder: s.Node, Incarnation: 3}, 1, clock.now)
+	clock.now += recordAge + units.Millisecond
+	go c.peers.Run(t.Context())
+	for deadline := time.Now().Add(10 * time.Second); c.whoLeads() != "next"; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("workers are sent to %q", c.whoLeads())
+		}
+	}
+	if r := c.poll(t.Context(), "j-000001", true); r.Status != http.StatusOK {
+		t.Errorf("poll: %d %s", r.Status, r.Body)
+	}
+	if r := c.health(); r.Status != http.StatusOK {
+		t.Errorf("health: %s", r.Body)
+	}
+	l.answeredAt = clock.now
+	if got := c.leader(); got != s.Node {
+		t.Errorf("the record was just read, and %q counts as the leader", got)
+	}
+}
--- a/internal/coordination/lag.go
+++ b/internal/coordination/lag.go
@@ -41,6 +41,9 @@
 	for last := t.Clock.Steady(); pause(ctx, lagTick); {
 		now := t.Clock.Steady()
 		behind := w.late(now-last-lagTick, now)
+		if w.mean >= lagMost {
+			t.wasLate(now)
+		}
 		last = now
 		if behind && now-t.claimedAt > termLeast && t.PeerInReach() && t.Lease.HandOver(t.Clock.Wall()) {
 			t.Log.Info("this node has fallen behind; the lease is handed over", "late_ms", w.mean/units.Millisecond)
@@ -48,3 +51,12 @@
 		}
 	}
 }
+
+// wasLate notes that this node has been late: reports may have waited for it, or
+// have been given up by their workers. Each machine then has the time for another
+// one before its silence is judged.
+func (t *Term) wasLate(now units.Micros) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judgeFrom = now + t.silentAfter()
+}
--- a/internal/coordination/lag_test.go
+++ b/internal/coordination/lag_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -56,3 +57,27 @@
 		t.Error("not handed over long after")
 	}
 }
+
+// A leader that stood still, or cannot keep up, finds reports that have waited
+// for it. It must not take the machines that it gets to last for silent, and give
+// them away.
+func TestLateLeaderJudgesNoSilence(t *testing.T) {
+	term, clock := guardTerm(t, 1)
+	report := func(from, to int, seq uint64) {
+		for i := from; i < to; i++ {
+			term.observe(beat(fmt.Sprintf("i-%06d", i), 1, seq, 7), clock.now)
+		}
+	}
+	report(0, 30, 1)
+	clock.now += 20 * units.Second
+	term.wasLate(clock.now)
+	report(0, 25, 2)
+	if silent := term.silentMachines(clock.now); len(silent) != 0 {
+		t.Errorf("to be released: %v", silent)
+	}
+	clock.now += term.silentAfter() + units.Second
+	report(0, 29, 3)
+	if silent := term.silentMachines(clock.now); len(silent) != 1 || !silent["i-000029"] {
+		t.Errorf("to be released after a while: %v", silent)
+	}
+}
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -594,7 +594,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{t: t, clock: &manualClock{now: units.Second}, store: &modelStore{items: map[string]protocol.Item{}},
 			jobs: map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
-		for range 2 {
+		// Some days begin with far more machines than the team can use.
+		for range rapid.SampledFrom([]int{2, 2, 2, 2, 16}).Draw(t, "machines") {
 			m.workers = append(m.workers, m.newWorker())
 		}
 		m.begin()
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -25,6 +25,7 @@
 type peerLink struct {
 	link   *transport.Link
 	heard  atomic.Int64 // steady time of the last answer
+	leads  atomic.Bool  // as the peer itself said then
 	nextID atomic.Uint64
 	mu     sync.Mutex
 	open   map[uint64]chan protocol.Frame
@@ -79,6 +80,9 @@
 		return
 	}
 	l.heard.Store(int64(p.clock.Steady()))
+	if f.ID == 0 { // the answer to a ping
+		l.leads.Store(f.Job != "")
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.open[f.ID]; c != nil {
@@ -107,6 +111,16 @@
 	return l.link.Up() && p.clock.Steady()-units.Micros(l.heard.Load()) < linkFresh
 }
 
+// Leading names the peer that says it leads, "" if none does.
+func (p *Peers) Leading() string {
+	for _, node := range sortedKeys(p.links) {
+		if l := p.links[node]; p.fresh(l) && l.leads.Load() {
+			return node
+		}
+	}
+	return ""
+}
+
 // Refused tells whether a peer's machine refuses connections.
 func (p *Peers) Refused(node string) bool {
 	l := p.links[node]
@@ -170,8 +184,9 @@
 	}
 }
 
-// answerFrame serves a peer's frame with the leader's own handlers.
-func answerFrame(ctx context.Context, data []byte, serve func(context.Context, protocol.Frame) transport.Response) ([]byte, error) {
+// answerFrame serves a peer's frame with the leader's own handlers. The answer to
+// a ping names this node if it leads.
+func answerFrame(ctx context.Context, data []byte, leading string, serve func(context.Context, protocol.Frame) transport.Response) ([]byte, error) {
 	f, err := protocol.DecodeFrame(data)
 	if err != nil {
 		return nil, err
@@ -179,6 +194,7 @@
 	out := protocol.Frame{ID: f.ID, Kind: protocol.FrameAnswer, Status: http.StatusOK}
 	switch f.Kind {
 	case protocol.FramePing:
+		out.Job = leading
 	case protocol.FrameSubmit, protocol.FramePoll, protocol.FrameCancel:
 		r := serve(ctx, f)
 		out.Status, out.Body, out.RetryAfter = r.Status, r.Body, r.RetryAfter
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -56,6 +56,7 @@
 	offered     bool                                      // the last round left no machine unasked for what waits
 	lastSummary units.Micros
 	unreached   int // the most controllers out of reach at a time in this term
+	judgeFrom   units.Micros // this node was late itself: until then no machine's silence is judged
 	tombs       map[string]units.Micros
 	saving      int
 	rent        renting
