Ask again for a kind of machine once one of it is gone

Cause: kinds that the cloud refused rest for 8 to 40 s. A machine that is gone now ends the rest of its kind.

--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -146,11 +146,19 @@
 		// Taken or deleted before it was up. That a machine is not listed proves
 		// nothing about one that may hold tasks: its lease decides.
 		if !m.Seen && !present[m.ID] && now-m.Rented > 4*lag+20*units.Second && !t.ledger.Doubtful(m.ID) {
-			t.ledger.Remove(m, now)
+			t.remove(m, now)
 		}
 	}
 }
 
+// remove drops a machine that is gone. The cloud may have room for another of
+// its kind now, whatever it said before: after a wave of losses, waiting for the
+// refusal to pass once left a quarter of the fleet away for half a minute.
+func (t *Term) remove(m *bookkeeping.Machine, now units.Micros) {
+	t.ledger.Remove(m, now)
+	delete(t.rent.refused, Kind{m.Type, m.Zone, m.Spot})
+}
+
 // releaseUnwanted returns machines that are faulty, lost, never came up, or
 // are idle beyond what is to be kept.
 func (t *Term) releaseUnwanted(ctx context.Context) {
@@ -168,7 +176,7 @@
 		for _, id := range names[:n] {
 			t.bury(id, now)
 			if m := t.ledger.Machines[id]; m != nil {
-				t.ledger.Remove(m, now)
+				t.remove(m, now)
 			} else {
 				t.ledger.SettleName(id)
 			}
--- a/internal/coordination/rent_test.go
+++ b/internal/coordination/rent_test.go
@@ -72,3 +72,21 @@
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
 }
+
+// A kind that was refused rests, the longer the more often. Once a machine of it
+// is gone, there may be room for another at once.
+func TestLostMachineIsReplacedAtOnce(t *testing.T) {
+	term, clock := guardTerm(t, 40)
+	term.rent.listAt = clock.now
+	m := term.ledger.Machine("i-000001", "m", "a", true, clock.now)
+	for _, spot := range []bool{false, true} {
+		term.rent.refused[Kind{"m", "a", spot}] = refusal{until: clock.now + refusedMost, wait: refusedMost}
+	}
+	if orders := term.orders(clock.now); len(orders) != 0 {
+		t.Fatalf("asked for what was refused: %v", orders)
+	}
+	term.remove(m, clock.now)
+	if orders := term.orders(clock.now); len(orders) != 1 || !orders[0].Spot {
+		t.Errorf("orders after a loss: %v", orders)
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -55,7 +55,7 @@
 	held        map[*bookkeeping.Machine]*bookkeeping.Job // whose room the last round keeps together for whom
 	offered     bool                                      // the last round left no machine unasked for what waits
 	lastSummary units.Micros
-	unreached   int // the most controllers out of reach at a time in this term
+	unreached   int          // the most controllers out of reach at a time in this term
 	judgeFrom   units.Micros // this node was late itself: until then no machine's silence is judged
 	tombs       map[string]units.Micros
 	saving      int
