--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -104,7 +104,8 @@
 	t.Log.Info("fleet", "machines", reporting, "cpus", size.CPU.Float(), "cpus_used", used.CPU.Float(), "cpus_running", running.CPU.Float(),
 		"pending_low", pending[protocol.Low], "pending_normal", pending[protocol.Normal],
 		"pending_high", pending[protocol.High], "pending_prod", pending[protocol.Production],
-		"jobs", len(t.ledger.Jobs), "teams_near_limit", full, "round_cost_us", int64(t.roundCost))
+		"jobs", len(t.ledger.Jobs), "teams_near_limit", full, "round_cost_us", int64(t.roundCost),
+		"state_requests", t.Store.Stats.Requests.Load(), "state_writes", t.Store.Stats.Writes.Load())
 }
 
 // roundDue spaces rounds by what they cost, so that under load they come less
