Let an answer wait for the save by the pace of reports

Cause: an answer to a report waited 150 ms for the save that names the machine; a start that missed it went with the machine's next report, up to 5 s later, with its processors idle.

Workers wait 4 s for an answer; it now waits a tenth of the report interval, 150 to 500 ms.

--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -473,3 +473,16 @@
 		t.Errorf("saved first: %v", first)
 	}
 }
+
+// A start whose save is a little late goes with the next report, which is seconds
+// away where reports come seldom: there the answer waits longer for the save, and
+// always far less than the 4 s after which the worker gives up.
+func TestAnswersWaitForSavesByThePaceOfReports(t *testing.T) {
+	term, _ := guardTerm(t, 1)
+	for seconds, want := range map[float64]units.Micros{0.8: 150, 3: 300, 5: 500, 60: 500} {
+		term.Settings.Fleet.Workers.ReportS = seconds
+		if got := term.durableWait(); got != want*units.Millisecond {
+			t.Errorf("reports every %v s: %d ms", seconds, got/units.Millisecond)
+		}
+	}
+}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -11,8 +11,11 @@
 )
 
 // durableWait is how long an answer to a report waits for the save that must
-// come before the starts it is to carry.
-const durableWait = 150 * units.Millisecond
+// come before the starts it is to carry: else they go with the next report, so
+// where reports come seldom it waits longer.
+func (t *Term) durableWait() units.Micros {
+	return min(max(t.Settings.Fleet.Workers.Report()/10, 150*units.Millisecond), 500*units.Millisecond)
+}
 
 // Report takes in a worker's report and gives the commands for it. It is not
 // accepted (false) when this node may not command, or the report is an old
@@ -47,7 +50,7 @@
 		select {
 		case <-wait:
 		case <-ctx.Done():
-		case <-time.After(durableWait.Duration()):
+		case <-time.After(t.durableWait().Duration()):
 		}
 		t.mu.Lock()
 		if m.Session != r.Session || m.Seq != r.Seq || !t.Lease.Valid(t.number) {
