--- /dev/null
+++ b/internal/bookkeeping/cells.go
@@ -0,0 +1,214 @@
+package bookkeeping
+
+import (
+	"slices"
+
+	"dunestand/internal/protocol"
+)
+
+// A job is kept in several records. Each is written by itself, in an order in
+// which a restore after any of the writes is safe: a machine is named before a
+// start there and for as long as it may hold a task, a completion is never taken
+// back. So a transaction need not hold all that has changed.
+
+// cell is one record of a job.
+type cell struct {
+	key      string
+	version  uint64          // 0: it is not stored
+	dirty    bool            // it is to be written
+	machines map[string]bool // those that it names; true: durably
+	names    int             // bytes that these take
+	room     int             // and may take
+}
+
+// records are a live job's records.
+type records struct {
+	format   int
+	turning  bool          // into the new form: its own record is still in the old one
+	main     *cell         // the job's own
+	parts    map[int]*cell // further names
+	pages    map[int]*cell // of the done set
+	oldPages map[int]*cell
+	obsolete []string         // keys in the old form that are to be deleted
+	home     map[string]*cell // where a machine is named
+	filling  *cell            // where the last new name went
+	partRoom int              // for names, in a part
+}
+
+// maxParts bounds the number of parts. The largest array has as many tasks, so
+// as many machines at most.
+const maxParts = protocol.MaxTasks
+
+func newRecords(job string, format int) records {
+	main := &cell{key: KeyJob(job), dirty: true, machines: map[string]bool{}}
+	return records{format: format, main: main, filling: main, home: map[string]*cell{},
+		parts: map[int]*cell{}, pages: map[int]*cell{}, oldPages: map[int]*cell{}}
+}
+
+// restoreNames takes in the names that a record holds.
+func (j *Job) restoreNames(c *cell, machines []string) {
+	if c.machines == nil {
+		c.machines = map[string]bool{}
+	}
+	for _, m := range machines {
+		j.Doubts[m] = true
+		if j.home[m] == nil {
+			j.put(c, m, true)
+		}
+	}
+}
+
+// restored completes a job that was read.
+func (j *Job) restored() {
+	j.main.dirty = false
+	for _, c := range j.parts {
+		c.dirty = false
+	}
+	if j.Service() {
+		clear(j.done) // an older version may have taken it for an array
+	}
+	if j.format == FormatNew { // turned, but for this
+		j.forgetOldPages()
+	}
+	j.recount()
+}
+
+func (j *Job) forgetOldPages() {
+	for n, c := range j.oldPages {
+		if c.version != 0 {
+			j.obsolete = append(j.obsolete, c.key)
+		}
+		delete(j.oldPages, n)
+	}
+	slices.Sort(j.obsolete)
+}
+
+// pageOf gives the record that a task's completion is kept in.
+func (j *Job) pageOf(task int) *cell {
+	pages, kind, n := j.pages, byte(kindPage), task/pageTasks
+	switch {
+	case j.format == FormatOld:
+		pages, kind, n = j.oldPages, kindOldPage, task/oldPageTasks
+		if n == 0 {
+			return j.main
+		}
+	case j.Spec.Tasks <= inlineTasks:
+		return j.main
+	}
+	if pages[n] == nil {
+		pages[n] = &cell{key: keyPart(j.Spec.ID, kind, n)}
+	}
+	return pages[n]
+}
+
+// turn begins to turn a job into the new form. Its own record is written only
+// after all else: until then it is the old one that names all machines.
+func (j *Job) turn(room roomFor) {
+	j.format, j.turning = FormatNew, j.stored
+	j.main.dirty = true
+	for p := 0; p*pageTasks < j.Spec.Tasks && j.Spec.Tasks > inlineTasks; p++ {
+		if !bitset(j.done.page(p, pageTasks)).empty() {
+			j.pageOf(p * pageTasks).dirty = true
+		}
+	}
+	j.forgetOldPages()
+	j.setRooms(room)
+	var over []string
+	kept := 0
+	for _, m := range sortedNames(j.main.machines) {
+		if !j.inUse(m) {
+			j.drop(m)
+		} else if kept += nameSize(m); kept > j.main.room {
+			over = append(over, m)
+		}
+	}
+	for _, m := range over {
+		durable := j.main.machines[m]
+		j.drop(m)
+		j.put(j.cellFor(m), m, durable)
+	}
+}
+
+// setRooms gives each record its room for names.
+func (j *Job) setRooms(room roomFor) {
+	j.main.room, j.partRoom = room(&j.Spec, j.format)
+	for _, c := range j.parts {
+		c.room = j.partRoom
+	}
+}
+
+func (j *Job) inUse(machine string) bool { return j.on[machine] > 0 || j.Doubts[machine] }
+
+func (j *Job) put(c *cell, machine string, durable bool) {
+	c.machines[machine] = durable
+	c.names += nameSize(machine)
+	c.dirty = true
+	j.home[machine] = c
+}
+
+// drop takes a name out. The record that holds it need not be written for that.
+func (j *Job) drop(machine string) {
+	c := j.home[machine]
+	delete(c.machines, machine)
+	c.names -= nameSize(machine)
+	delete(j.home, machine)
+}
+
+// name adds a machine to the records in the making, and tells whether it was
+// missing there.
+func (j *Job) name(machine string) bool {
+	if j.home[machine] != nil {
+		return false
+	}
+	j.put(j.cellFor(machine), machine, false)
+	return true
+}
+
+// cellFor chooses a record for a new name: the one that got the last, else one
+// in which names that are not needed any more leave room, else a new part.
+func (j *Job) cellFor(machine string) *cell {
+	size := nameSize(machine)
+	if j.format == FormatOld || j.filling.names+size <= j.filling.room {
+		return j.filling
+	}
+	best := j.main
+	for n := 0; n <= len(j.parts); n++ {
+		c := j.main
+		if n > 0 {
+			c = j.parts[n]
+		}
+		if c == nil {
+			continue
+		}
+		for _, m := range sortedNames(c.machines) {
+			if !j.inUse(m) {
+				j.drop(m)
+			}
+		}
+		if c.room-c.names > best.room-best.names {
+			best = c
+		}
+	}
+	if free := best.room - best.names; free < size || free < best.room/4 {
+		n := 1
+		for j.parts[n] != nil {
+			n++
+		}
+		best = &cell{key: keyPart(j.Spec.ID, kindNames, n), machines: map[string]bool{}, room: j.partRoom}
+		j.parts[n] = best
+	}
+	j.filling = best
+	return best
+}
+
+// CanName tells whether the job's records have room to name the machine.
+func (j *Job) CanName(machine string) bool {
+	return j.format != FormatOld || j.main.names+nameSize(machine) <= j.main.room || j.home[machine] != nil
+}
+
+// MayStartOn tells whether a record durably names the machine, so that a later
+// leader would know to look for the job's tasks there.
+func (j *Job) MayStartOn(machine string) bool {
+	c := j.home[machine]
+	return j.stored && c != nil && c.machines[machine]
+}
--- a/internal/bookkeeping/inbox.go
+++ b/internal/bookkeeping/inbox.go
@@ -21,6 +21,9 @@
 	Submitted units.Micros // time of day
 }
 
+// The record is in the old form for good: it is small, and any version that may
+// lead reads it.
+//
 // ArrivalTxn is the transaction that accepts a job without a leader. It is
 // carried out only if no record tells of the job: one that comes late, after
 // the job was accepted otherwise or is over, fails.
@@ -28,7 +31,7 @@
 	id := a.Spec.ID
 	return protocol.Txn{
 		If:   []protocol.Condition{{Key: KeyInbox(id)}, {Key: KeyJob(id)}, {Key: KeyFinal(id)}},
-		Then: []protocol.Change{{Set: KeyInbox(id), Value: protocol.Encode(newJob(a.Spec, a.Submitted).record("", nil))}},
+		Then: []protocol.Change{{Set: KeyInbox(id), Value: protocol.Encode(newJob(a.Spec, a.Submitted, FormatOld).record("", nil))}},
 	}
 }
 
@@ -53,7 +56,7 @@
 		j = l.NewJob(a.Spec, a.Submitted, now)
 	}
 	if !j.arrived {
-		j.arrived = true
+		j.arrived, j.main.dirty = true, true
 		j.Changed(now, true)
 	}
 }
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -51,45 +51,45 @@
 	Since        units.Micros    // steady time when this leader learnt of it
 
 	// What its attempts taught.
-	Errors       int             // in a row, without a success between
-	ErrorsOn     map[string]bool // machines on which it failed
-	Succeeded    bool
-	RetryAt      units.Micros
-	runTotal     units.Micros
-	runs         int
-	done         bitset
-	doneCount    int
-	retry        []int
-	cursor       int
-	machines     map[string]bool // named in the record in the making; true: durably
-	names        int             // bytes that these names take in the record
-	nameRoom     int             // and may take
-	stored       bool            // a record exists in the state service
-	arrived      bool            // it is in the inbox there, and to be taken out
-	version      uint64
+	Errors    int             // in a row, without a success between
+	ErrorsOn  map[string]bool // machines on which it failed
+	Succeeded bool
+	RetryAt   units.Micros
+	Begun     bool // one of its tasks was seen running
+	runTotal  units.Micros
+	runs      int
+	done      bitset
+	doneCount int
+	retry     []int
+	cursor    int
+	records
+	on           map[string]int // attempts by machine
+	stored       bool           // a record exists in the state service
+	arrived      bool           // it is in the inbox there, and to be taken out
 	saving       bool
+	alone        bool         // not to be saved together with others
 	unsaved      map[int]bool // done, but not yet durably
 	inSave       map[int]bool // done, and in the save on its way
-	dirtyPages   map[int]bool
-	storedPages  map[int]bool
-	changed      bool // something wants saving
-	urgent       bool // and at once
+	short        map[int]int  // of a service's replicas: runs in a row that ended soon
+	changed      bool         // something wants saving
+	urgent       bool         // and at once
 	changedSince units.Micros
 	saved        chan struct{}   // closed when the save that is due ends well
 	sending      chan struct{}   // closed when the save on its way ends well
 	waiting      []chan struct{} // likewise, from saves that were refused
 }
 
-func newJob(spec protocol.JobSpec, submitted units.Micros) *Job {
+func newJob(spec protocol.JobSpec, submitted units.Micros, format int) *Job {
 	return &Job{
 		Spec: spec, Submitted: submitted, Live: map[int]*Attempt{}, Doubts: map[string]bool{},
-		ErrorsOn: map[string]bool{}, done: newBitset(spec.Tasks), machines: map[string]bool{},
-		unsaved: map[int]bool{}, inSave: map[int]bool{}, dirtyPages: map[int]bool{}, storedPages: map[int]bool{},
+		ErrorsOn: map[string]bool{}, done: newBitset(spec.Tasks), records: newRecords(spec.ID, format),
+		unsaved: map[int]bool{}, inSave: map[int]bool{}, on: map[string]int{},
 		saved: make(chan struct{}),
 	}
 }
 
-func (j *Job) pages() int { return (j.Spec.Tasks - 1) / pageTasks }
+// Service tells whether the job's tasks run until it is cancelled.
+func (j *Job) Service() bool { return j.Spec.Shape == protocol.Service }
 
 func (j *Job) recount() {
 	j.doneCount = 0
@@ -104,8 +104,8 @@
 // DoneCount is the number of completed tasks.
 func (j *Job) DoneCount() int { return j.doneCount }
 
-// Complete tells whether every task is done.
-func (j *Job) Complete() bool { return j.doneCount == j.Spec.Tasks }
+// Complete tells whether every task is done. Those of a service never are.
+func (j *Job) Complete() bool { return !j.Service() && j.doneCount == j.Spec.Tasks }
 
 // Pending is the number of tasks that are neither done nor on a machine. A
 // task can be both for a moment, when a former leader's attempt turns out to
@@ -159,40 +159,16 @@
 }
 
 func (j *Job) markDone(i int) bool {
-	if i >= j.Spec.Tasks || j.done.has(i) {
+	if i >= j.Spec.Tasks || j.Service() || j.done.has(i) {
 		return false
 	}
 	j.done.add(i)
 	j.doneCount++
 	j.unsaved[i] = true
-	j.dirtyPages[i/pageTasks] = true
+	j.pageOf(i).dirty = true
 	return true
 }
 
-// name adds a machine to the record in the making, and tells whether it was
-// missing there.
-func (j *Job) name(machine string) bool {
-	if _, named := j.machines[machine]; named {
-		return false
-	}
-	j.machines[machine] = false
-	j.names += nameSize(machine)
-	return true
-}
-
-// CanName tells whether the job's record has room to name the machine.
-func (j *Job) CanName(machine string) bool {
-	if j.names+nameSize(machine) <= j.nameRoom {
-		return true
-	}
-	_, named := j.machines[machine]
-	return named
-}
-
-// MayStartOn tells whether the record durably names the machine, so that a
-// later leader would know to look for the job's tasks there.
-func (j *Job) MayStartOn(machine string) bool { return j.stored && j.machines[machine] }
-
 // Changed notes that the record is to be written; at once if urgent.
 func (j *Job) Changed(now units.Micros, urgent bool) {
 	if !j.changed {
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -115,7 +115,11 @@
 	Types    map[string]protocol.MachineType
 	classes  map[string]float64 // run time against the owners' estimates
 	ordered  []*Machine         // by their names
-	value    int                // the most bytes in a record
+	state    config.State       // the limits of the state service
+	rooms    roomFor
+	format   int        // of the fleet: the newest that every leader reads
+	tight    bool       // the limits to come are known to hold
+	left     []leftover // to be deleted
 	// doubts holds, by machine, the jobs whose records name it while nobody has
 	// told us what it holds; inDoubt holds these jobs. Both shrink as machines
 	// settle, so that each costs what it has to do with and not the whole fleet.
@@ -123,9 +127,10 @@
 	inDoubt map[*Job]bool
 }
 
-// NewLedger makes an empty ledger for records of at most value bytes.
-func NewLedger(teams []config.Team, value int) *Ledger {
-	l := &Ledger{value: value, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
+// NewLedger makes an empty ledger for records in the old form, within the limits
+// of the state service.
+func NewLedger(teams []config.Team, state config.State) *Ledger {
+	l := &Ledger{state: state, rooms: rooms(state.ValueBytes(), state.Both().ValueBytes()), format: FormatOld, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
 		Types: map[string]protocol.MachineType{}, classes: map[string]float64{},
 		doubts: map[string][]*Job{}, inDoubt: map[*Job]bool{}}
 	for _, t := range teams {
@@ -135,6 +140,40 @@
 	return l
 }
 
+// Raise takes over that every leader, now and later, reads a format. Records in
+// the old form are turned as they are written, and all of them in time.
+func (l *Ledger) Raise(format int, now units.Micros) {
+	if format <= l.format {
+		return
+	}
+	l.format = format
+	for _, j := range l.Jobs {
+		if j.format < format {
+			j.main.dirty = true
+			j.Changed(now, false)
+		}
+	}
+}
+
+// oldLeaders tells whether a leader may come that reads the old form alone.
+func (l *Ledger) oldLeaders() bool { return l.format < FormatNew }
+
+// Tighten takes over that the limits to come hold already, and tells whether
+// that was new.
+func (l *Ledger) Tighten() bool {
+	was := l.tight
+	l.tight = true
+	return !was && l.oldLeaders()
+}
+
+// ops is the most changes in a transaction.
+func (l *Ledger) ops() int {
+	if l.tight || !l.oldLeaders() {
+		return l.state.Both().TxnOps
+	}
+	return l.state.TxnOps
+}
+
 // unlimited stands for the memory of a team, which has no limit.
 const unlimited = units.Amount(1) << 60
 
@@ -188,7 +227,10 @@
 
 // Add takes in a job read from its record.
 func (l *Ledger) Add(j *Job) {
-	j.nameRoom = nameRoom(j.Spec, l.value)
+	if !l.oldLeaders() && j.format == FormatOld {
+		j.main.dirty, j.changed = true, true // to be turned into the new form
+	}
+	j.setRooms(l.rooms)
 	l.Jobs[j.Spec.ID] = j
 	for m := range j.Doubts {
 		l.doubt(j, m)
@@ -213,7 +255,7 @@
 
 // NewJob adds a submitted job, which is not accepted until it is saved.
 func (l *Ledger) NewJob(spec protocol.JobSpec, wall, now units.Micros) *Job {
-	j := newJob(spec, wall)
+	j := newJob(spec, wall, l.format)
 	j.Since = now
 	l.Add(j)
 	j.Changed(now, true)
@@ -226,7 +268,7 @@
 	if !ok {
 		return nil
 	}
-	if !j.machines[m.ID] {
+	if c := j.home[m.ID]; c == nil || c.dirty && !c.machines[m.ID] {
 		j.name(m.ID)
 		j.Changed(now, true)
 	}
@@ -244,6 +286,7 @@
 
 func (l *Ledger) attach(a *Attempt) *Attempt {
 	a.Job.Live[a.Index] = a
+	a.Job.on[a.Machine.ID]++
 	a.Machine.Attempts[AttemptKey{a.Job.Spec.ID, a.Index, a.Number}] = a
 	l.count(a, 1)
 	return a
@@ -283,6 +326,9 @@
 		return
 	}
 	delete(a.Machine.Attempts, key)
+	if a.Job.on[a.Machine.ID]--; a.Job.on[a.Machine.ID] == 0 {
+		delete(a.Job.on, a.Machine.ID)
+	}
 	if a.Job.Live[a.Index] == a {
 		delete(a.Job.Live, a.Index)
 		if !a.Job.IsDone(a.Index) {
@@ -378,6 +424,45 @@
 	}
 }
 
+// steadyRun is how long a service's replica runs until its machine and its job
+// are thought to be in order.
+const steadyRun = 20 * units.Second
+
+// Steady learns from a replica that runs.
+func (l *Ledger) Steady(a *Attempt, now units.Micros) {
+	if a.RunningSince == 0 || now-a.RunningSince < steadyRun {
+		return
+	}
+	j := a.Job
+	clear(a.Machine.errorJobs)
+	delete(j.short, a.Index)
+	j.Errors, j.Succeeded = 0, true
+	if len(j.ErrorsOn) >= 3 {
+		clear(j.ErrorsOn) // machines to be avoided, while they are few
+	}
+}
+
+// Ended learns from a replica that ended by itself, with an error or without.
+// One that keeps ending is started again ever more slowly, and elsewhere.
+func (l *Ledger) Ended(a *Attempt, failed bool, now units.Micros) {
+	l.Steady(a, now)
+	j := a.Job
+	if a.RunningSince > 0 && now-a.RunningSince >= steadyRun {
+		return
+	}
+	if failed {
+		l.Failed(a, now)
+	}
+	j.ErrorsOn[a.Machine.ID] = true
+	if j.short == nil {
+		j.short = map[int]int{}
+	}
+	j.short[a.Index]++
+	if n := j.short[a.Index]; n > 1 {
+		j.RetryAt = max(j.RetryAt, now+min(units.Second<<min(n-2, 8)/2, 30*units.Second))
+	}
+}
+
 // Remove drops a machine that is certainly gone, and all that was on it.
 func (l *Ledger) Remove(m *Machine, now units.Micros) {
 	l.Emptied(m, now)
--- a/internal/bookkeeping/ledger_test.go
+++ b/internal/bookkeeping/ledger_test.go
@@ -14,7 +14,7 @@
 // machines or both pending and placed, through any order of events.
 func TestLedgerSums(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := NewLedger([]config.Team{{Name: "team", CPUsMax: 100}}, 8<<10)
+		l := NewLedger([]config.Team{{Name: "team", CPUsMax: 100}}, config.State{ValueKB: 8, TxnOps: 12})
 		l.SetTypes([]protocol.MachineType{{Name: "m", CPUs: 64, MemoryGB: 64, CacheGB: 2}})
 		var attempts []*Attempt
 		jobs := []*Job{}
@@ -89,7 +89,7 @@
 // A machine that runs its tasks slower than their siblings elsewhere is found
 // out, and does not spoil what is known of the job.
 func TestSlowMachineIsFound(t *testing.T) {
-	l := NewLedger(nil, 8<<10)
+	l := NewLedger(nil, config.State{ValueKB: 8, TxnOps: 12})
 	j := l.NewJob(protocol.JobSpec{ID: "j-000001", Tasks: 40}, 0, 0)
 	run := func(machine string, length units.Micros) {
 		a := l.Assign(j, l.Machine(machine, "m", "a", true, 0), 1, 0)
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"net/url"
+	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
@@ -15,11 +18,15 @@
 // Keys of the records. Jobs live in buckets under their bucket's head; final
 // states live apart, so that a restore does not grow with them.
 const (
-	KeyFleet    = "fleet"
-	KeyCatalog  = "catalog"
-	PrefixHeads = "bucket/"
-	PrefixJobs  = "job/"
-	prefixFinal = "final/"
+	KeyFleet   = "fleet"
+	KeyCatalog = "catalog" // and what begins with it
+	// Below PrefixFormats are the formats that each controller reads, and the
+	// fleet's.
+	PrefixFormats  = "format/"
+	KeyFleetFormat = "format/fleet"
+	PrefixHeads    = "bucket/"
+	PrefixJobs     = "job/"
+	prefixFinal    = "final/"
 )
 
 // Buckets is the number of buckets (DESIGN).
@@ -32,6 +39,15 @@
 	return int(h.Sum32() % Buckets)
 }
 
+// KeyFormat is the key of the format that a controller reads.
+func KeyFormat(node string) string { return PrefixFormats + "node/" + url.PathEscape(node) }
+
+// FormatRecord is a format, of a controller or of the fleet.
+type FormatRecord struct {
+	Format int    `cbor:"format"`
+	By     string `cbor:"by"` // the controller that wrote it
+}
+
 // KeyHead is the key of a bucket's head.
 func KeyHead(bucket int) string { return fmt.Sprintf("%s%02d", PrefixHeads, bucket) }
 
@@ -41,7 +57,32 @@
 // KeyFinal is the key of a finished job's final state.
 func KeyFinal(job string) string { return prefixFinal + job }
 
-func keyPage(job string, page int) string { return fmt.Sprintf("%s/p%d", KeyJob(job), page) }
+// A job's further records lie below its own: parts of the names of machines,
+// pages of the done set, and pages in the old form.
+const (
+	kindNames   = 'm'
+	kindPage    = 'd'
+	kindOldPage = 'p'
+)
+
+func keyPart(job string, kind byte, n int) string {
+	return fmt.Sprintf("%s/%c%d", KeyJob(job), kind, n)
+}
+
+// parsePart reads what a key below a job's says: the job's key, the kind and the
+// number.
+func parsePart(key string) (job string, kind byte, n int, err error) {
+	cut := strings.LastIndexByte(key, '/')
+	job, rest := key[:cut], key[cut+1:]
+	if len(rest) >= 2 {
+		kind = rest[0]
+		n, err = strconv.Atoi(rest[1:])
+	}
+	if len(rest) < 2 || err != nil || n < 0 || rest != fmt.Sprintf("%c%d", kind, n) || !strings.ContainsRune("mdp", rune(kind)) {
+		return "", 0, 0, fmt.Errorf("record %s: not of a known kind", key)
+	}
+	return job, kind, n, nil
+}
 
 // Lease is a leased record: the fleet's, which names the leader and whose
 // incarnation is the workers' term, or a bucket's.
@@ -63,7 +104,16 @@
 	Save  string         `cbor:"save"`
 }
 
-const recordFormat = 1
+// Formats of a job's records. In the old one a single record names all
+// machines, and the pages of a large done set follow it. Controllers that know
+// no other may lead until the fleet's format is raised. In the new one every
+// record has a bounded size, however large the job is and whatever it is on.
+const (
+	FormatOld = 1
+	FormatNew = 2
+	// Format is the newest that this version reads and writes.
+	Format = FormatNew
+)
 
 // record is a live job as it is stored. Durations are in microseconds.
 type record struct {
@@ -92,18 +142,33 @@
 	Submitted  units.Micros `cbor:"submitted" json:"submitted"` // time of day
 	Cancelled  bool         `cbor:"cancelled" json:"cancelled"`
 	Machines   []string     `cbor:"machines" json:"machines"` // may hold tasks of the job
-	Done       string       `cbor:"done" json:"done"`         // page 0 of the done set
-	Pages      int          `cbor:"pages" json:"pages"`       // further pages
+	Done       string       `cbor:"done" json:"done"`         // the done set, or the first page of it in the old form
+	Pages      int          `cbor:"pages" json:"pages"`       // further pages, in the old form
+}
+
+// names is a further part of the names of machines.
+type names struct {
+	Format   int      `cbor:"v" json:"v"`
+	Save     string   `cbor:"save" json:"save"`
+	Machines []string `cbor:"machines" json:"machines"`
 }
 
-// page is a further part of a large array's done set.
+// page is a part of a large array's done set.
 type page struct {
-	Done string `cbor:"done"`
+	Format int    `cbor:"v,omitempty" json:"v"` // not in the old form
+	Save   string `cbor:"save,omitempty" json:"save"`
+	Done   string `cbor:"done" json:"done"`
 }
 
-// pageTasks is how many tasks a page of the done set covers: 2 KiB of bits,
-// 2.7 KiB as the text that the state service can hold.
-const pageTasks = 16 << 10
+const (
+	// oldPageTasks is how many tasks a page covers in the old form: 2 KiB of bits,
+	// 2.7 KiB as the text that the state service can hold.
+	oldPageTasks = 16 << 10
+	// pageTasks is the same in the new form: 0.7 KiB as text.
+	pageTasks = 4 << 10
+	// inlineTasks is the largest array whose done set is in its own record.
+	inlineTasks = 1 << 10
+)
 
 // bitset is a set of task numbers.
 type bitset []byte
@@ -111,8 +176,16 @@
 func newBitset(n int) bitset    { return make(bitset, (n+7)/8) }
 func (b bitset) has(i int) bool { return b[i/8]&(1<<(i%8)) != 0 }
 func (b bitset) add(i int)      { b[i/8] |= 1 << (i % 8) }
-func (b bitset) page(p int) []byte {
-	return b[min(p*pageTasks/8, len(b)):min((p+1)*pageTasks/8, len(b))]
+func (b bitset) page(p, size int) []byte {
+	return b[min(p*size/8, len(b)):min((p+1)*size/8, len(b))]
+}
+func (b bitset) empty() bool {
+	for _, x := range b {
+		if x != 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func encodePage(b []byte) string {
@@ -131,29 +204,58 @@
 	if len(raw) > len(into) {
 		return errors.New("done set is longer than the job")
 	}
-	copy(into, raw)
+	for i, x := range raw {
+		into[i] |= x // the same tasks may be told of in both forms
+	}
 	return nil
 }
 
 func (j *Job) record(save string, machines []string) record {
 	s := &j.Spec
 	return record{
-		Format: recordFormat, Save: save, ID: s.ID, Class: s.Class, Team: s.Team, Shape: uint8(s.Shape), Priority: uint8(s.Priority),
+		Format: j.format, Save: save, ID: s.ID, Class: s.Class, Team: s.Team, Shape: uint8(s.Shape), Priority: uint8(s.Priority),
 		Tasks: s.Tasks, CPU: s.Need.CPU, GPU: s.Need.GPU, Memory: s.Need.Memory, Types: s.Types, Zone: s.Zone,
 		OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageSize: s.ImageSize,
 		Estimate: s.Estimate, Checkpoint: s.Checkpoint, SaveTime: s.Save, Deadline: s.Deadline,
-		Submitted: j.Submitted, Cancelled: j.Cancelled, Machines: machines, Done: encodePage(j.done.page(0)),
-		Pages: j.pages(),
+		Submitted: j.Submitted, Cancelled: j.Cancelled, Machines: machines, Done: encodePage(j.inline()),
+		Pages: j.oldPageCount(),
 	}
 }
 
-// jsonSize is the size of a record as the state service counts it.
-func jsonSize(r record) int {
+// inline is the part of the done set that is in the job's own record.
+func (j *Job) inline() []byte {
+	switch {
+	case j.format == FormatOld:
+		return j.done.page(0, oldPageTasks)
+	case j.Spec.Tasks <= inlineTasks:
+		return j.done
+	}
+	return nil
+}
+
+// oldPageCount is the number of further pages that a reader of the old form
+// expects.
+func (j *Job) oldPageCount() int {
+	if j.format == FormatOld {
+		return (j.Spec.Tasks - 1) / oldPageTasks
+	}
+	return 0
+}
+
+// jsonSize is the size of a record as the state service counts it, at most:
+// how it writes what is not ASCII is not said.
+func jsonSize(r any) int {
 	raw, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // a struct of texts and numbers
 	}
-	return len(raw)
+	size := len(raw)
+	for _, c := range string(raw) {
+		if c >= utf8.RuneSelf {
+			size += 8 // as a pair of escapes
+		}
+	}
+	return size
 }
 
 // parseRecord reads a job's record. A record that cannot be read is an error,
@@ -164,11 +266,11 @@
 		return nil, r, fmt.Errorf("record %s: %w", key, err)
 	}
 	switch {
-	case r.Format != recordFormat:
+	case r.Format != FormatOld && r.Format != FormatNew:
 		return nil, r, fmt.Errorf("record %s: format %d is not known", key, r.Format)
 	case !protocol.ValidJobID(r.ID) || KeyJob(r.ID) != key:
 		return nil, r, fmt.Errorf("record %s: names job %q", key, r.ID)
-	case r.Tasks < 1 || r.Tasks > protocol.MaxTasks || int(r.Priority) >= protocol.Priorities || int(r.Shape) >= protocol.Shapes || r.Pages != (r.Tasks-1)/pageTasks:
+	case r.Tasks < 1 || r.Tasks > protocol.MaxTasks || int(r.Priority) >= protocol.Priorities || int(r.Shape) >= protocol.Shapes:
 		return nil, r, fmt.Errorf("record %s: out of range", key)
 	}
 	j := newJob(protocol.JobSpec{
@@ -177,59 +279,104 @@
 		Types: r.Types, Zone: r.Zone, OneZone: r.OneZone, Spread: r.Spread, Spot: r.Spot,
 		Image: r.Image, ImageSize: r.ImageSize, Estimate: r.Estimate, Checkpoint: r.Checkpoint,
 		Save: r.SaveTime, Deadline: r.Deadline,
-	}, r.Submitted)
+	}, r.Submitted, r.Format)
+	if r.Pages != j.oldPageCount() {
+		return nil, r, fmt.Errorf("record %s: out of range", key)
+	}
 	j.Cancelled, j.CancelStored = r.Cancelled, r.Cancelled
-	if err := decodePage(r.Done, j.done.page(0)); err != nil {
+	if err := decodePage(r.Done, j.inline()); err != nil {
 		return nil, r, fmt.Errorf("record %s: %w", key, err)
 	}
 	return j, r, nil
 }
 
 // ParseJobs reads the rows under the jobs' prefix. Any row that cannot be
-// read fails the whole: skipping it would forget a job.
-func ParseJobs(rows []protocol.Item) ([]*Job, error) {
-	var jobs []*Job
+// read fails the whole: skipping it would forget a job. While a job is turned
+// into the new form, what its records say in both counts. Further records
+// without a job's own are given by job: they are left over if it is over.
+func ParseJobs(rows []protocol.Item) (jobs []*Job, orphans map[string][]string, err error) {
 	byKey := map[string]*Job{}
-	var pages []protocol.Item
+	var parts []protocol.Item
 	for _, row := range rows {
 		if strings.Count(row.Key, "/") == 3 {
-			pages = append(pages, row)
+			parts = append(parts, row)
 			continue
 		}
 		j, r, err := parseRecord(row.Key, row.Value)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		j.version, j.stored = row.Version, true
+		j.main.version, j.stored = row.Version, true
 		j.changed = j.Cancelled // its end may be due
-		for _, m := range r.Machines {
-			j.name(m)
-			j.machines[m] = true
-			j.Doubts[m] = true
-		}
+		j.restoreNames(j.main, r.Machines)
 		byKey[row.Key] = j
 		jobs = append(jobs, j)
 	}
-	for _, row := range pages {
-		cut := strings.LastIndexByte(row.Key, '/')
-		j := byKey[row.Key[:cut]]
-		var n int
-		if _, err := fmt.Sscanf(row.Key[cut+1:], "p%d", &n); err != nil || j == nil || n < 1 || n > j.pages() {
-			return nil, fmt.Errorf("record %s: belongs to no job", row.Key)
+	orphans = map[string][]string{}
+	for _, row := range parts {
+		key, kind, n, err := parsePart(row.Key)
+		if err != nil {
+			return nil, nil, err
 		}
-		var p page
-		if err := protocol.Decode(row.Value, &p); err != nil {
-			return nil, fmt.Errorf("record %s: %w", row.Key, err)
+		j := byKey[key]
+		if j == nil {
+			id := key[strings.LastIndexByte(key, '/')+1:]
+			if !protocol.ValidJobID(id) || KeyJob(id) != key {
+				return nil, nil, fmt.Errorf("record %s: belongs to no job", row.Key)
+			}
+			orphans[id] = append(orphans[id], row.Key)
+			continue
 		}
-		if err := decodePage(p.Done, j.done.page(n)); err != nil {
-			return nil, fmt.Errorf("record %s: %w", row.Key, err)
+		if err := j.parsePart(row, kind, n); err != nil {
+			return nil, nil, err
 		}
-		j.storedPages[n] = true
 	}
 	for _, j := range jobs {
-		j.recount()
+		j.restored()
+	}
+	return jobs, orphans, nil
+}
+
+// parsePart takes in one of the job's further records.
+func (j *Job) parsePart(row protocol.Item, kind byte, n int) error {
+	var p page
+	var r names
+	var err error
+	if kind == kindNames {
+		err = protocol.Decode(row.Value, &r)
+		p.Format = r.Format
+	} else {
+		err = protocol.Decode(row.Value, &p)
 	}
-	return jobs, nil
+	c := &cell{key: row.Key, version: row.Version}
+	switch size := j.Spec.Tasks - 1; {
+	case err != nil:
+	case kind == kindOldPage:
+		if n < 1 || n > size/oldPageTasks {
+			err = errors.New("out of range")
+			break
+		}
+		err = decodePage(p.Done, j.done.page(n, oldPageTasks))
+		j.oldPages[n] = c
+	case p.Format != FormatNew:
+		err = fmt.Errorf("format %d is not known", p.Format)
+	case kind == kindNames:
+		if j.parts[n] != nil || n > maxParts {
+			err = errors.New("out of range")
+			break
+		}
+		j.parts[n] = c
+		j.restoreNames(c, r.Machines)
+	case n > size/pageTasks:
+		err = errors.New("out of range")
+	default:
+		err = decodePage(p.Done, j.done.page(n, pageTasks))
+		j.pages[n] = c
+	}
+	if err != nil {
+		return fmt.Errorf("record %s: %w", row.Key, err)
+	}
+	return nil
 }
 
 // JobOfFinal gives the job whose final state a key holds.
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -1,6 +1,7 @@
 package bookkeeping
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"reflect"
@@ -40,7 +41,8 @@
 	revision uint64
 }
 
-func (s *store) apply(t *rapid.T, txn protocol.Txn, valueBytes int) uint64 {
+// apply holds a transaction against the limits, sizes as the service counts them.
+func (s *store) apply(t *rapid.T, txn protocol.Txn, limits config.State) uint64 {
 	for _, c := range txn.If {
 		if strings.HasPrefix(c.Key, PrefixHeads) {
 			continue
@@ -49,105 +51,215 @@
 			t.Fatalf("condition on %s: version %d, expected %d", c.Key, s.items[c.Key].Version, c.Version)
 		}
 	}
+	if len(txn.Then) > limits.TxnOps || len(txn.If) > 4*limits.TxnOps {
+		t.Fatalf("%d changes on %d conditions", len(txn.Then), len(txn.If))
+	}
 	s.revision++
 	for _, c := range txn.Then {
 		if c.Delete != "" {
 			delete(s.items, c.Delete)
 			continue
 		}
-		// As JSON a value is larger than as CBOR; half as large again is a
-		// generous reckoning for what is mostly one long text.
-		if len(c.Value)*3/2 > valueBytes {
-			t.Fatalf("%s: a value of %d bytes", c.Set, len(c.Value))
+		if n := sizeAsJSON(t, c.Value); n > limits.ValueBytes() {
+			t.Fatalf("%s: a value of %d bytes", c.Set, n)
 		}
 		s.items[c.Set] = protocol.Item{Key: c.Set, Value: c.Value, Version: s.revision}
 	}
 	return s.revision
 }
 
-// Whatever a job is and however many of its tasks are done, what a restore
-// reads is what was saved, and no record or transaction is over its limit.
+// rows lists what a restore reads.
+func (s *store) rows() []protocol.Item {
+	var rows []protocol.Item
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, PrefixJobs) {
+			rows = append(rows, s.items[key])
+		}
+	}
+	return rows
+}
+
+func sizeAsJSON(t interface{ Fatal(...any) }, value protocol.Raw) int {
+	var v map[string]any
+	if err := protocol.Decode(value, &v); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(raw)
+}
+
+// Whatever a job is, however many of its tasks are done and whatever it is on,
+// what a restore reads is what was saved, in the old form and in the new one and
+// at every step between: a machine that may hold a task is named, no completion
+// that was durable is lost, and no record or transaction is over its limit.
 func TestSavedJobsAreRestored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := NewLedger([]config.Team{{Name: "team"}}, 8<<10)
+		now := config.State{ValueKB: 16, TxnOps: 12}
+		now.Next = rapid.SampledFrom([]*config.State{nil, {ValueKB: 2, TxnOps: 4}, {ValueKB: 1, TxnOps: 3}}).Draw(t, "limits to come")
+		l := NewLedger([]config.Team{{Name: "team"}}, now)
 		s := &store{items: map[string]protocol.Item{}}
 		heads := make([]uint64, Buckets)
-		limits := SaveLimits{Ops: 12, Tasks: true}
-		save := func() {
-			for n := 0; ; n++ {
-				b := l.BuildSave(fmt.Sprintf("1-%d", n), heads, limits, 1)
+		limits, format := now, FormatOld
+		saves := 0
+		check := func() {
+			jobs, orphans, err := ParseJobs(s.rows())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for id := range orphans {
+				if _, over := s.items[KeyFinal(id)]; !over {
+					t.Fatalf("%s has records but not its own", id)
+				}
+			}
+			for _, got := range jobs {
+				want := l.Jobs[got.Spec.ID]
+				if want == nil {
+					t.Fatalf("%s is not known", got.Spec.ID)
+				}
+				if !reflect.DeepEqual(got.Spec, want.Spec) || got.Submitted != want.Submitted {
+					t.Fatalf("restored %+v, saved %+v", got.Spec, want.Spec)
+				}
+				for m := range l.Machines {
+					if want.MayStartOn(m) && !got.Doubts[m] {
+						t.Fatalf("%s may start on %s, which no record names", got.Spec.ID, m)
+					}
+				}
+				for i := range want.Spec.Tasks {
+					if want.DoneDurably(i) != got.IsDone(i) && (want.DoneDurably(i) || !want.IsDone(i)) {
+						t.Fatalf("%s: task %d is done %v, durably %v, restored %v", got.Spec.ID, i, want.IsDone(i), want.DoneDurably(i), got.IsDone(i))
+					}
+				}
+			}
+		}
+		save := func(most int) {
+			for range most {
+				saves++
+				b := l.BuildSave(fmt.Sprintf("1-%d", saves), heads, SaveLimits{Tasks: true}, 1)
 				if b == nil {
 					return
 				}
-				if len(b.Txn.Then) > limits.Ops || len(b.Txn.If) > 4*limits.Ops {
-					t.Fatalf("%d changes on %d conditions", len(b.Txn.Then), len(b.Txn.If))
+				if rapid.IntRange(0, 5).Draw(t, "refused") == 0 {
+					l.Refused(b, 1)
+					continue
 				}
-				l.Applied(b, s.apply(t, b.Txn, 8<<10))
+				l.Applied(b, s.apply(t, b.Txn, limits))
+				check()
 			}
 		}
-		for range rapid.IntRange(1, 20).Draw(t, "jobs") {
-			spec := drawSpec(t)
-			if l.Jobs[spec.ID] == nil && RecordFits(spec, 8<<10) {
-				l.NewJob(spec, units.Micros(rapid.Int64Range(0, 1e15).Draw(t, "submitted")), 0)
+		submit := func() {
+			for range rapid.IntRange(1, 4).Draw(t, "jobs") {
+				spec := drawSpec(t)
+				if l.Jobs[spec.ID] == nil && s.items[KeyFinal(spec.ID)].Version == 0 && Fits(&spec, format, now) && Fits(&spec, Format, now) {
+					l.NewJob(spec, units.Micros(rapid.Int64Range(0, 1e15).Draw(t, "submitted")), 0)
+				}
 			}
 		}
-		save()
-		for _, id := range slices.Sorted(maps.Keys(l.Jobs)) {
-			j := l.Jobs[id]
-			for _, i := range rapid.SliceOfN(rapid.IntRange(0, j.Spec.Tasks-1), 0, 20).Draw(t, "done") {
-				l.Done(j, i, 0)
-			}
-			if !j.Complete() && rapid.Bool().Draw(t, "on a machine") {
-				l.Assign(j, l.Machine("i-000001", "m", "a", true, 0), 5, 0)
+		number := uint64(0)
+		play := func() {
+			for _, id := range slices.Sorted(maps.Keys(l.Jobs)) {
+				j := l.Jobs[id]
+				for _, i := range rapid.SliceOfN(rapid.IntRange(0, j.Spec.Tasks-1), 0, 20).Draw(t, "done") {
+					l.Done(j, i, 0)
+				}
+				if rapid.IntRange(0, 9).Draw(t, "all done") == 0 {
+					for i := range j.Spec.Tasks {
+						l.Done(j, i, 0)
+					}
+				}
+				for range rapid.SampledFrom([]int{0, 1, 5, 400}).Draw(t, "starts") {
+					m := l.Machine(fmt.Sprintf("i-%06d", rapid.IntRange(1, 900).Draw(t, "machine")), "m", "a", true, 0)
+					if number++; j.Accepted() && j.CanName(m.ID) {
+						l.Assign(j, m, number, 0)
+					}
+				}
+				for _, a := range j.Live {
+					if a.Number%3 == 0 {
+						l.Gone(a, 0)
+					}
+				}
 			}
 		}
-		save()
-		var rows []protocol.Item
-		for key, item := range s.items {
-			if strings.HasPrefix(key, PrefixJobs) {
-				rows = append(rows, item)
+		steps := rapid.IntRange(1, 3).Draw(t, "steps")
+		for step := range 2 * steps {
+			if step == steps {
+				l.Raise(FormatNew, 1)
+				format, limits = FormatNew, now.Both()
+				limits.ValueKB, limits.TxnOps = now.Both().ValueKB, now.Both().TxnOps
 			}
+			submit()
+			save(rapid.IntRange(1, 30).Draw(t, "saves"))
+			play()
+			save(rapid.IntRange(1, 30).Draw(t, "saves"))
 		}
-		jobs, err := ParseJobs(rows)
-		if err != nil {
-			t.Fatal(err)
-		}
+		save(10_000)
+		jobs, _, _ := ParseJobs(s.rows())
 		if len(jobs) != len(l.Jobs) {
 			t.Fatalf("%d jobs restored of %d", len(jobs), len(l.Jobs))
 		}
-		for _, got := range jobs {
-			want := l.Jobs[got.Spec.ID]
-			if !reflect.DeepEqual(got.Spec, want.Spec) || got.Submitted != want.Submitted || got.doneCount != want.doneCount ||
-				!reflect.DeepEqual(got.done, want.done) || got.Doubts["i-000001"] != want.machines["i-000001"] {
-				t.Fatalf("restored %+v, saved %+v", got.Spec, want.Spec)
+		for _, j := range jobs {
+			if j.format != FormatNew {
+				t.Fatalf("%s is still in the old form", j.Spec.ID)
+			}
+		}
+		for _, item := range s.rows() {
+			if strings.Contains(item.Key, "/p") {
+				t.Fatalf("%s is left over", item.Key)
 			}
 		}
 	})
 }
 
 func TestUnreadableRowsFailTheWhole(t *testing.T) {
-	good := newJob(protocol.JobSpec{ID: "j-000001", Tasks: 3}, 0).record("1-1", nil)
+	good := newJob(protocol.JobSpec{ID: "j-000001", Tasks: 3}, 0, FormatOld).record("1-1", nil)
 	other := good
 	other.Tasks = protocol.MaxTasks + 1
+	later := good
+	later.Format = Format + 1
 	for name, row := range map[string]protocol.Item{
 		"not CBOR":          {Key: KeyJob("j-000001"), Value: []byte{0xff}},
 		"under another key": {Key: KeyJob("j-000002"), Value: protocol.Encode(good)},
 		"out of range":      {Key: KeyJob("j-000001"), Value: protocol.Encode(other)},
-		"page of no job":    {Key: keyPage("j-000001", 1), Value: protocol.Encode(page{})},
+		"later format":      {Key: KeyJob("j-000001"), Value: protocol.Encode(later)},
+		"unknown part":      {Key: KeyJob("j-000001") + "/x1", Value: protocol.Encode(page{})},
+		"odd number":        {Key: KeyJob("j-000001") + "/m01", Value: protocol.Encode(names{Format: FormatNew})},
+		"page of no job":    {Key: KeyJob("j-000001") + "x/d1", Value: protocol.Encode(page{})},
 	} {
-		if jobs, err := ParseJobs([]protocol.Item{row}); err == nil {
+		if jobs, _, err := ParseJobs([]protocol.Item{row}); err == nil {
 			t.Errorf("%s: read as %v", name, jobs)
 		}
 	}
 }
 
+// A further record of a later format is not skipped, and one without a job's own
+// is not taken for a job: it is left over if the job is over, else it is an error
+// that the restore tells.
+func TestPartsOfALaterFormatFailTheWhole(t *testing.T) {
+	good := protocol.Encode(newJob(protocol.JobSpec{ID: "j-000001", Tasks: 5000}, 0, FormatNew).record("1-1", nil))
+	for kind, value := range map[byte]protocol.Raw{
+		kindNames: protocol.Encode(names{Format: Format + 1}),
+		kindPage:  protocol.Encode(page{Format: Format + 1}),
+	} {
+		rows := []protocol.Item{{Key: KeyJob("j-000001"), Value: good}, {Key: keyPart("j-000001", kind, 1), Value: value}}
+		if _, _, err := ParseJobs(rows); err == nil {
+			t.Errorf("part %c of a later format is read", kind)
+		}
+		jobs, orphans, err := ParseJobs(rows[1:])
+		if err != nil || len(jobs) != 0 || len(orphans["j-000001"]) != 1 {
+			t.Errorf("part %c without its job: jobs %v, orphans %v, %v", kind, jobs, orphans, err)
+		}
+	}
+}
+
 // A machine stays named as long as it may hold a task, and a start may follow
 // only once the name is durable.
 func TestMachinesAreNamedBeforeStarts(t *testing.T) {
-	l := NewLedger(nil, 8<<10)
+	l := NewLedger(nil, config.State{ValueKB: 8, TxnOps: 12})
 	heads := make([]uint64, Buckets)
 	j := l.NewJob(protocol.JobSpec{ID: "j-000001", Tasks: 2}, 0, 0)
-	build := func() *Save { return l.BuildSave("1-1", heads, SaveLimits{Ops: 12, Tasks: true}, 0) }
+	build := func() *Save { return l.BuildSave("1-1", heads, SaveLimits{Tasks: true}, 0) }
 	l.Applied(build(), 1)
 	m := l.Machine("i-000001", "m", "a", true, 0)
 	a := l.Assign(j, m, 1, 0)
@@ -169,7 +281,7 @@
 		t.Fatal("may not start after the save")
 	}
 	l.Gone(a, 0)
-	j.Changed(0, true)
+	l.Done(j, 0, 0)
 	s = build() // leaves the name out
 	if j.MayStartOn(m.ID) {
 		t.Fatal("may start though the name is being taken out")
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -1,8 +1,11 @@
 package bookkeeping
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
+	"dunestand/internal/config"
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
@@ -13,22 +16,36 @@
 	ID    string
 	Txn   protocol.Txn
 	parts []savePart
+	left  []leftover
 }
 
+// savePart is what a save holds of a job.
 type savePart struct {
-	job      *Job
-	final    *Final
-	machines []string
-	pages    []int
-	waiters  []chan struct{}
-	key      string
-	cancel   bool
-	arrived  bool
+	job     *Job
+	final   *Final
+	writes  []write
+	whole   bool // all of the job that was to be written
+	waiters []chan struct{}
+	cancel  bool
+}
+
+// write is one change in a job's records.
+type write struct {
+	change   protocol.Change
+	cell     *cell    // nil: something is deleted
+	machines []string // that the record names
+	last     bool     // only once all before it is written
+	with     bool     // only together with the one before
+}
+
+// leftover is a record of a job that is over.
+type leftover struct {
+	bucket int
+	key    string
 }
 
 // SaveLimits bounds a Save.
 type SaveLimits struct {
-	Ops   int          // changes in a transaction
 	Lazy  units.Micros // changes that nobody waits for are gathered for so long
 	Tasks bool         // also write what nobody waits for
 }
@@ -38,31 +55,54 @@
 const maxSaveBytes = 36 << 10
 
 // maxRecordBytes bounds a record whatever the state service would take: with
-// the pages of the largest array it must fit into a transaction.
-const maxRecordBytes = 24 << 10
+// the pages of the largest array it must fit into a transaction. maxPartBytes
+// keeps it cheap to name one more machine.
+const (
+	maxRecordBytes = 24 << 10
+	maxPartBytes   = 8 << 10
+)
 
 // leastNames is the room for names, in bytes of JSON, without which a job is
-// not accepted.
+// not accepted in the old form.
 const leastNames = 1000
 
-// nameRoom gives the bytes of JSON that are left for the names of machines in
-// a job's record, however far the job gets. A large array spreads over most of
-// the fleet, so all that a value may hold is used.
-func nameRoom(spec protocol.JobSpec, valueBytes int) int {
-	j := &Job{Spec: spec, done: bitset{}}
-	donePage := (min(spec.Tasks, pageTasks)/8+1)*4/3 + 64
-	return min(valueBytes, maxRecordBytes) - jsonSize(j.record("00000000000000000000-00000000000000000000", nil)) - donePage
+// longestSave is as long as the id of any save.
+const longestSave = "00000000000000000000-00000000000000000000"
+
+// roomFor gives the bytes of JSON that are left for the names of machines in a
+// job's record, however far the job gets, and in a further part.
+type roomFor func(spec *protocol.JobSpec, format int) (main, part int)
+
+func rooms(now, both int) roomFor {
+	return func(spec *protocol.JobSpec, format int) (main, part int) {
+		j := &Job{Spec: *spec, records: records{format: format}}
+		value, done := now, min(spec.Tasks, oldPageTasks)
+		if format != FormatOld {
+			if value, done = both, spec.Tasks; done > inlineTasks {
+				done = 0
+			}
+		}
+		main = min(value, maxRecordBytes) - jsonSize(j.record(longestSave, nil)) - (done/8+1)*4/3 - 64
+		part = min(value, maxPartBytes) - jsonSize(names{Format: FormatNew, Save: longestSave, Machines: []string{}})
+		return main, part
+	}
+}
+
+// Fits tells whether a job can be kept in records of a format, however far the
+// job gets.
+func Fits(spec *protocol.JobSpec, format int, state config.State) bool {
+	both := state.Both()
+	main, _ := rooms(state.ValueBytes(), both.ValueBytes())(spec, format)
+	if format != FormatOld {
+		return main >= 0
+	}
+	// The end of a job takes all its pages away in one transaction.
+	return main >= leastNames && 3+(spec.Tasks-1)/oldPageTasks <= state.TxnOps
 }
 
 // nameSize is what a name takes, with its quotes and comma.
 func nameSize(machine string) int { return len(machine) + 3 }
 
-// RecordFits tells whether a job's record will always fit into a value of the
-// state service, however far the job gets.
-func RecordFits(spec protocol.JobSpec, valueBytes int) bool {
-	return nameRoom(spec, valueBytes) >= leastNames
-}
-
 // end gives the final record of a job that is over: complete, or cancelled
 // and with nothing left on any machine.
 func (j *Job) end(id string) *Final {
@@ -87,9 +127,6 @@
 			due = append(due, j)
 		}
 	}
-	if len(due) == 0 {
-		return nil
-	}
 	sort.Slice(due, func(i, k int) bool {
 		a, b := due[i], due[k]
 		if a.urgent != b.urgent {
@@ -108,104 +145,219 @@
 	})
 	s := &Save{ID: id}
 	seen := map[int]bool{}
-	size := 0
-	for _, j := range due {
-		if len(s.parts) >= limits.Ops {
-			break
+	head := func(b int) {
+		if !seen[b] {
+			seen[b] = true
+			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: KeyHead(b), Version: heads[b]})
 		}
-		part, changes := j.part(id)
-		if part.arrived = j.arrived; part.arrived {
-			changes = append(changes, protocol.Change{Delete: KeyInbox(j.Spec.ID)})
+	}
+	ops, size := l.ops(), 0
+	for _, j := range due {
+		if len(s.parts) > 0 && (j.alone || s.parts[0].job.alone) {
+			continue
 		}
-		for _, c := range changes {
-			size += len(c.Value) + 64
+		part, all := l.part(j, id)
+		if len(all) == 0 {
+			j.settled()
+			continue
 		}
-		if len(s.parts) > 0 && (len(s.Txn.Then)+len(changes) > limits.Ops || size > maxSaveBytes) {
+		n, bytes := cut(all, ops-len(s.Txn.Then), maxSaveBytes-size, len(s.parts) == 0)
+		if n < len(all) && len(s.parts) > 0 {
 			break
 		}
-		if b := BucketOf(j.Spec.ID); !seen[b] {
-			seen[b] = true
-			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: KeyHead(b), Version: heads[b]})
-		}
-		s.Txn.If = append(s.Txn.If, protocol.Condition{Key: KeyJob(j.Spec.ID), Version: j.version})
+		size += bytes
+		part.writes, part.whole = all[:n], n == len(all)
+		head(BucketOf(j.Spec.ID))
 		if !j.stored || part.final != nil {
 			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: KeyFinal(j.Spec.ID)})
 		}
-		s.Txn.Then = append(s.Txn.Then, changes...)
+		if part.final != nil {
+			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: j.main.key, Version: j.main.version})
+		}
+		for _, w := range part.writes {
+			if w.cell != nil {
+				s.Txn.If = append(s.Txn.If, protocol.Condition{Key: w.cell.key, Version: w.cell.version})
+			}
+			s.Txn.Then = append(s.Txn.Then, w.change)
+		}
+		j.begin(&part)
 		s.parts = append(s.parts, part)
-		j.begin(part)
 	}
-	s.takeWaiters()
+	// What is left of jobs that are over is deleted when there is time.
+	for limits.Tasks && len(s.Txn.Then) < ops && len(l.left) > 0 {
+		left := l.left[0]
+		l.left = l.left[1:]
+		head(left.bucket)
+		s.Txn.Then = append(s.Txn.Then, protocol.Change{Delete: left.key})
+		s.left = append(s.left, left)
+	}
+	if len(s.Txn.Then) == 0 {
+		return nil
+	}
 	return s
 }
 
+// cut gives how many of a job's writes go into a transaction, and their size.
+// What must go together does, even where nothing else is in the transaction and
+// it is over its limit: the state service then tells.
+func cut(all []write, ops, bytes int, first bool) (n, size int) {
+	for i := 0; i < len(all); {
+		k, add := i, 0
+		for {
+			add += len(all[k].change.Value) + 64
+			if k++; k == len(all) || !all[k].with {
+				break
+			}
+		}
+		if (k > ops || size+add > bytes) && !(first && i == 0) {
+			break
+		}
+		i, n, size = k, k, size+add
+	}
+	return n, size
+}
+
 // userWaits tells whether a user is answered only after the job's next save.
 func (j *Job) userWaits() bool { return !j.stored || j.Cancelled && !j.CancelStored }
 
-func (j *Job) part(id string) (savePart, []protocol.Change) {
-	key := KeyJob(j.Spec.ID)
+// part gives all that is to be written of a job, in an order in which it is safe
+// to stop anywhere.
+func (l *Ledger) part(j *Job, id string) (savePart, []write) {
+	part := savePart{job: j, cancel: j.Cancelled}
+	var out []write
+	remove := func(key string, with bool) {
+		out = append(out, write{change: protocol.Change{Delete: key}, with: with})
+	}
+	inbox := func() {
+		if j.arrived {
+			remove(KeyInbox(j.Spec.ID), true)
+		}
+	}
 	if f := j.end(id); f != nil {
-		changes := []protocol.Change{{Set: KeyFinal(j.Spec.ID), Value: protocol.Encode(f)}, {Delete: key}}
-		for p := range j.storedPages {
-			changes = append(changes, protocol.Change{Delete: keyPage(j.Spec.ID, p)})
+		part.final = f
+		out = append(out, write{change: protocol.Change{Set: KeyFinal(j.Spec.ID), Value: protocol.Encode(f)}})
+		remove(j.main.key, true)
+		inbox()
+		if l.oldLeaders() && j.format == FormatOld {
+			// A reader of the old form refuses pages without their job.
+			for _, n := range slices.Sorted(maps.Keys(j.oldPages)) {
+				if c := j.oldPages[n]; c.version != 0 {
+					remove(c.key, true)
+				}
+			}
 		}
-		return savePart{job: j, final: f, key: KeyFinal(j.Spec.ID)}, changes
+		return part, out
 	}
-	part := savePart{job: j, key: key, cancel: j.Cancelled}
-	used := map[string]bool{}
-	for _, a := range j.Live {
-		used[a.Machine.ID] = true
+	if !l.oldLeaders() && j.format == FormatOld {
+		j.turn(l.rooms)
 	}
-	for m := range j.machines {
-		if used[m] || j.Doubts[m] {
-			part.machines = append(part.machines, m)
+	j.main.dirty = j.main.dirty || j.Cancelled && !j.CancelStored
+	main := func() {
+		if !j.main.dirty {
+			return
 		}
+		machines := j.named(j.main)
+		out = append(out, write{cell: j.main, machines: machines,
+			change: protocol.Change{Set: j.main.key, Value: protocol.Encode(j.record(id, machines))}})
+		inbox()
+	}
+	if !j.turning {
+		main()
 	}
-	sort.Strings(part.machines)
-	changes := []protocol.Change{{Set: key, Value: protocol.Encode(j.record(id, part.machines))}}
-	for p := range j.dirtyPages {
-		part.pages = append(part.pages, p)
-		if p > 0 {
-			changes = append(changes, protocol.Change{Set: keyPage(j.Spec.ID, p),
-				Value: protocol.Encode(page{encodePage(j.done.page(p))})})
+	for _, n := range slices.Sorted(maps.Keys(j.parts)) {
+		if c := j.parts[n]; c.dirty {
+			machines := j.named(c)
+			out = append(out, write{cell: c, machines: machines,
+				change: protocol.Change{Set: c.key, Value: protocol.Encode(names{FormatNew, id, machines})}})
 		}
 	}
-	return part, changes
+	pages, size, format := j.pages, pageTasks, FormatNew
+	if j.format == FormatOld {
+		pages, size, format = j.oldPages, oldPageTasks, 0
+	}
+	for _, n := range slices.Sorted(maps.Keys(pages)) {
+		if c := pages[n]; c.dirty {
+			p := page{Format: format, Done: encodePage(j.done.page(n, size))}
+			if format != 0 {
+				p.Save = id
+			}
+			out = append(out, write{cell: c, change: protocol.Change{Set: c.key, Value: protocol.Encode(p)}})
+		}
+	}
+	if j.turning {
+		main()
+	}
+	for _, key := range j.obsolete {
+		remove(key, false)
+	}
+	return part, out
 }
 
-// begin marks the job as being saved. Names that the record leaves out may not
-// be used any more, whether or not the save is carried out.
-func (j *Job) begin(part savePart) {
-	j.saving, j.changed, j.urgent = true, false, false
-	if part.final == nil {
-		keep := make(map[string]bool, len(part.machines))
-		j.names = 0
-		for _, m := range part.machines {
-			keep[m] = j.machines[m]
-			j.names += nameSize(m)
+// named lists the machines that a record is to name.
+func (j *Job) named(c *cell) []string {
+	var out []string
+	for m := range c.machines {
+		if j.inUse(m) {
+			out = append(out, m)
 		}
-		j.machines = keep
 	}
-	for i := range j.unsaved {
-		j.inSave[i] = true
+	slices.Sort(out)
+	return out
+}
+
+func sortedNames(machines map[string]bool) []string { return slices.Sorted(maps.Keys(machines)) }
+
+// settled notes that a job has nothing to be written after all.
+func (j *Job) settled() {
+	j.changed, j.urgent = false, false
+	for _, w := range append(j.waiting, j.saved) {
+		close(w)
 	}
-	clear(j.unsaved)
-	clear(j.dirtyPages)
+	j.waiting, j.saved = nil, make(chan struct{})
 }
 
-// Waiters are taken when the save is built: what changes later waits for the
-// next one.
-func (s *Save) takeWaiters() {
-	for i := range s.parts {
-		j := s.parts[i].job
-		s.parts[i].waiters = append(j.waiting, j.saved)
+// begin marks the job as being saved. Names that a record leaves out may not
+// be used any more, whether or not the save is carried out.
+func (j *Job) begin(part *savePart) {
+	j.saving = true
+	if part.whole {
+		j.changed, j.urgent = false, false
+	}
+	for _, w := range part.writes {
+		if w.cell == nil {
+			continue
+		}
+		w.cell.dirty = false
+		for _, m := range sortedNames(w.cell.machines) {
+			if !j.inUse(m) {
+				j.drop(m)
+			}
+		}
+	}
+	for i := range j.unsaved {
+		if !j.pageOf(i).dirty {
+			j.inSave[i] = true
+			delete(j.unsaved, i)
+		}
+	}
+	if part.whole {
+		// Waiters are taken when the save is built: what changes later waits for
+		// the next one.
+		part.waiters = append(j.waiting, j.saved)
 		j.waiting, j.sending, j.saved = nil, j.saved, make(chan struct{})
 	}
 }
 
-// Probe is the key whose record tells, by the save's id, whether the save was
-// carried out.
-func (s *Save) Probe() string { return s.parts[0].key }
+// Probe is a key whose record tells, by the save's id, whether the save was
+// carried out; "" if it only deletes, which may as well be done again.
+func (s *Save) Probe() string {
+	for _, c := range s.Txn.Then {
+		if c.Set != "" {
+			return c.Set
+		}
+	}
+	return ""
+}
 
 // Jobs lists the ids of the jobs in the save.
 func (s *Save) Jobs() []string {
@@ -222,22 +374,15 @@
 	finished := map[string]Final{}
 	for _, p := range s.parts {
 		j := p.job
-		j.saving, j.stored, j.version = false, true, revision
-		j.CancelStored = j.CancelStored || p.cancel
-		j.arrived = j.arrived && !p.arrived
+		j.saving, j.alone = false, false
 		clear(j.inSave)
-		for _, m := range p.machines {
-			if _, named := j.machines[m]; named {
-				j.machines[m] = true
-			}
-		}
-		for _, n := range p.pages {
-			if n > 0 {
-				j.storedPages[n] = true
-			}
+		for _, w := range p.writes {
+			j.written(w, revision)
 		}
+		j.CancelStored = j.CancelStored || p.cancel && j.main.version == revision
 		if p.final != nil {
 			finished[j.Spec.ID] = *p.final
+			l.leave(j)
 			l.remove(j)
 		}
 		for _, w := range p.waiters {
@@ -247,25 +392,80 @@
 	return finished
 }
 
+// written takes over that one of the job's changes was carried out.
+func (j *Job) written(w write, revision uint64) {
+	switch {
+	case w.cell == nil:
+		key := w.change.Delete
+		j.arrived = j.arrived && key != KeyInbox(j.Spec.ID)
+		j.obsolete = slices.DeleteFunc(j.obsolete, func(o string) bool { return o == key })
+		for n, c := range j.oldPages {
+			if c.key == key {
+				delete(j.oldPages, n)
+			}
+		}
+		return
+	case w.cell == j.main:
+		j.stored, j.turning = true, false
+	}
+	w.cell.version = revision
+	for _, m := range w.machines {
+		if _, named := w.cell.machines[m]; named {
+			w.cell.machines[m] = true
+		}
+	}
+}
+
+// leave notes what is left of a job that is over.
+func (l *Ledger) leave(j *Job) {
+	keys := j.obsolete
+	for _, cells := range []map[int]*cell{j.parts, j.pages, j.oldPages} {
+		for _, n := range slices.Sorted(maps.Keys(cells)) {
+			if c := cells[n]; c.version != 0 {
+				keys = append(keys, c.key)
+			}
+		}
+	}
+	l.Leave(j.Spec.ID, keys)
+}
+
+// Leave notes records that are left over of a job that is over.
+func (l *Ledger) Leave(job string, keys []string) {
+	for _, key := range keys {
+		l.left = append(l.left, leftover{BucketOf(job), key})
+	}
+}
+
 // Refused takes over that the save was certainly not carried out and never
 // will be: its changes are due again.
 func (l *Ledger) Refused(s *Save, now units.Micros) {
+	l.left = append(l.left, s.left...)
 	for _, p := range s.parts {
 		j := p.job
 		j.saving = false
 		for i := range j.inSave {
 			j.unsaved[i] = true
-			j.dirtyPages[i/pageTasks] = true
 		}
 		clear(j.inSave)
-		for _, n := range p.pages {
-			j.dirtyPages[n] = true
+		for _, w := range p.writes {
+			if w.cell != nil {
+				w.cell.dirty = true
+			}
 		}
 		j.Changed(now, true)
 		j.waiting = append(j.waiting, p.waiters...)
 	}
 }
 
+// Rejected is Refused for a save that the state service will not take as it is.
+// It is built anew, each job by itself: one must not hold up the rest.
+func (l *Ledger) Rejected(s *Save, now units.Micros) {
+	l.Refused(s, now)
+	for _, p := range s.parts {
+		p.job.alone = true
+	}
+}
+
 // Drop removes a job that was never accepted, because its id turned out to be
 // that of a finished job.
 func (l *Ledger) Drop(id string) {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	ErrRefused = errors.New("state service refused")
 	// ErrUncertain: it may have been carried out, or may be still.
 	ErrUncertain = errors.New("state service did not answer")
+	// ErrRejected: it was not carried out, and will not be as it is.
+	ErrRejected = errors.New("state service does not take the request")
 )
 
 // ConflictError names the keys whose version was not the expected one.
@@ -37,39 +40,83 @@
 // Store is the state service as controllers use it, within the node's share
 // of its limits.
 type Store struct {
-	client   *transport.Client
-	requests *rate.Limiter
-	writes   *rate.Limiter
-	addr     string
-	Stats    *StoreStats
+	*budget
+	client *transport.Client
+	addr   string
+	Stats  *StoreStats
 }
 
 // StoreStats counts what was sent.
 type StoreStats struct{ Requests, Writes, Refused, Uncertain atomic.Uint64 }
 
-// The leader's share of the state service. All writes stay below half of its
-// rate (DESIGN, 4); the rest of the requests is left to the other nodes.
+// The shares of the state service. All of the leader's writes stay below half of
+// its rate (DESIGN, 4), and those of all controllers together within it, bursts
+// included; most of the requests are the leader's.
 const (
-	writeShare   = 0.47
+	leaderWrites = 0.47
+	otherWrites  = 0.4 // of all the others together
 	requestShare = 0.6
+	leaderBurst  = 16
 )
 
-// NewStore makes a client of the state service.
-func NewStore(addr string, limits config.State) *Store {
-	burst := func(r float64) int { return max(int(r/2), 16) }
-	return &Store{
-		client:   transport.NewClient(addr, 8, 4<<20),
-		addr:     addr,
-		Stats:    new(StoreStats),
-		requests: rate.NewLimiter(rate.Limit(limits.RPS*requestShare), burst(limits.RPS*requestShare)),
-		writes:   rate.NewLimiter(rate.Limit(limits.WriteRPS*writeShare), burst(limits.WriteRPS*writeShare)),
+// budget keeps a node within its share.
+type budget struct {
+	mu       sync.Mutex
+	limits   config.State
+	others   int // controllers beside this one
+	leads    bool
+	requests *rate.Limiter
+	writes   *rate.Limiter
+}
+
+// set makes the limiters anew, as the share is now.
+func (b *budget) set() {
+	r := b.limits.RPS * requestShare
+	b.requests = rate.NewLimiter(rate.Limit(r), max(int(r/2), leaderBurst))
+	if b.leads || b.others == 0 {
+		w := b.limits.WriteRPS * leaderWrites
+		b.writes = rate.NewLimiter(rate.Limit(w), max(int(w/2), leaderBurst, b.limits.TxnOps))
+		return
 	}
+	w := b.limits.WriteRPS * otherWrites / float64(b.others)
+	b.writes = rate.NewLimiter(rate.Limit(w), max(int(w), 2))
+}
+
+func (b *budget) limiters() (requests, writes *rate.Limiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.requests, b.writes
+}
+
+// NewStore makes a client of the state service for one of several controllers.
+func NewStore(addr string, limits config.State, others int) *Store {
+	b := &budget{limits: limits, others: others}
+	b.set()
+	return &Store{client: transport.NewClient(addr, 8, 4<<20), addr: addr, Stats: new(StoreStats), budget: b}
 }
 
 // Reserved is the same store over connections of its own: a lease must not
 // wait behind requests that hang.
 func (s *Store) Reserved() *Store {
-	return &Store{client: transport.NewClient(s.addr, 2, 1<<20), addr: s.addr, requests: s.requests, writes: s.writes, Stats: s.Stats}
+	return &Store{client: transport.NewClient(s.addr, 2, 1<<20), addr: s.addr, Stats: s.Stats, budget: s.budget}
+}
+
+// Lead gives this node the leader's share, or takes it away.
+func (s *Store) Lead(leads bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leads = leads
+	s.set()
+}
+
+// Tighten keeps within the limits to come from now on.
+func (s *Store) Tighten() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limits.Next != nil {
+		s.limits = s.limits.Both()
+		s.set()
+	}
 }
 
 // Get reads a key.
@@ -100,12 +147,13 @@
 }
 
 // Commit carries out a transaction and gives its revision. It fails with
-// ErrRefused, ErrUncertain or a ConflictError. It first waits for the write
+// ErrRefused, ErrUncertain, ErrRejected or a ConflictError. It first waits for the write
 // budget; a renewal of the fleet lease is counted but does not wait.
 func (s *Store) Commit(ctx context.Context, txn protocol.Txn, hurry bool, limit units.Micros) (uint64, error) {
+	_, writes := s.limiters()
 	if n := len(txn.Then); hurry {
-		s.writes.ReserveN(time.Now(), n)
-	} else if err := s.writes.WaitN(ctx, n); err != nil {
+		writes.ReserveN(time.Now(), n)
+	} else if err := writes.WaitN(ctx, n); err != nil {
 		return 0, ErrRefused
 	}
 	if txn.If == nil {
@@ -126,7 +174,8 @@
 }
 
 func (s *Store) call(ctx context.Context, method, path string, body []byte, limit units.Micros, answer any) (int, error) {
-	s.requests.ReserveN(time.Now(), 1)
+	requests, _ := s.limiters()
+	requests.ReserveN(time.Now(), 1)
 	s.Stats.Requests.Add(1)
 	status, raw, err := s.client.Do(ctx, method, path, body, limit)
 	if err != nil {
@@ -142,6 +191,8 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		s.Stats.Refused.Add(1)
 		return 0, ErrRefused
+	case http.StatusBadRequest:
+		return status, ErrRejected
 	default:
 		return status, fmt.Errorf("%s %s: status %d", method, path, status)
 	}
@@ -150,9 +201,13 @@
 
 // Spare tells whether a request that could as well be made later fits into
 // the node's share now.
-func (s *Store) Spare() bool { return s.requests.TokensAt(time.Now()) > 4 }
+func (s *Store) Spare() bool {
+	requests, _ := s.limiters()
+	return requests.TokensAt(time.Now()) > 4
+}
 
 // WritesSpare tells whether there is room for writes that nobody waits for.
 func (s *Store) WritesSpare() bool {
-	return s.writes.TokensAt(time.Now()) > float64(s.writes.Burst())/2
+	_, writes := s.limiters()
+	return writes.TokensAt(time.Now()) > float64(writes.Burst())/2
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -93,13 +93,17 @@
 	for path, bad := range map[string][]any{
 		"node_name": {"", 7}, "client_listen": {"", "localhost:80", "10.0.0.1"}, "mesh_addr": {""}, "services.state": {"", "nowhere"},
 		"settings.workers.lease_s": {0.0, -1.0, "long"}, "settings.state.write_rps": {0.0}, "settings.state.txn_ops": {1, 2.5},
-		"settings.state.value_kb": {1.0}, "settings.cloud.list_lag_s": {-1.0}, "settings.resources.ram_mb": {0.0}, "settings.zones": {[]any{}},
+		"settings.state.value_kb": {0.5}, "settings.state.next.value_kb": {0.5, -2.0, "small"},
+		"settings.state.next.txn_ops": {2, -1, 2.5}, "settings.state.next.write_rps": {-1.0}, "settings.state.next": {7, "soon"}, "settings.cloud.list_lag_s": {-1.0}, "settings.resources.ram_mb": {0.0}, "settings.zones": {[]any{}},
 	} {
 		for _, value := range bad {
 			s := goodSettings()
 			at := s
 			parts := strings.Split(path, ".")
 			for _, p := range parts[:len(parts)-1] {
+				if at[p] == nil {
+					at[p] = map[string]any{}
+				}
 				at = at[p].(map[string]any)
 			}
 			at[parts[len(parts)-1]] = value
@@ -121,6 +125,28 @@
 	}
 }
 
+// The limits to come are optional, each of them, and never loosen those of now.
+func TestLimitsToCome(t *testing.T) {
+	for _, c := range []struct {
+		next any
+		want State
+	}{
+		{nil, State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12}},
+		{map[string]any{}, State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12}},
+		{map[string]any{"value_kb": 2.0, "txn_ops": 4, "since": "noon"}, State{RPS: 150, WriteRPS: 60, ValueKB: 2, TxnOps: 4}},
+		{map[string]any{"write_rps": 42.0, "value_kb": 64.0}, State{RPS: 150, WriteRPS: 42, ValueKB: 16, TxnOps: 12}},
+	} {
+		s := goodSettings()
+		s["settings"].(map[string]any)["state"] = map[string]any{"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12, "next": c.next}
+		parsed, err := Parse(encode(t, s))
+		if err != nil {
+			t.Errorf("%v: %v", c.next, err)
+		} else if got := parsed.Fleet.State.Both(); got != c.want {
+			t.Errorf("%v: %+v", c.next, got)
+		}
+	}
+}
+
 func TestPolicyErrorsNameLineAndColumn(t *testing.T) {
 	for text, want := range map[string]string{
 		"rank = work_s\nidle_return_s = 1 +": `^p:2:\d+: `,
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -87,11 +87,69 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next holds limits that the service will have from some moment on, without
+	// notice. What it leaves out stays as it is.
+	Next *State `json:"next"`
 }
 
 // ValueBytes is the largest value.
 func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
 
+// Both gives limits that hold now and will go on holding.
+func (s State) Both() State {
+	if n := s.Next; n != nil {
+		s.RPS, s.WriteRPS = lower(s.RPS, n.RPS), lower(s.WriteRPS, n.WriteRPS)
+		s.ValueKB, s.TxnOps = lower(s.ValueKB, n.ValueKB), lower(s.TxnOps, n.TxnOps)
+		s.Next = nil
+	}
+	return s
+}
+
+// lower gives the lower of two limits; 0 is none.
+func lower[T int | float64](now, next T) T {
+	if next == 0 {
+		return now
+	}
+	return min(now, next)
+}
+
+// The least that the state service must take: a job's record with short texts
+// fits into a value, and the end of a job that is in the inbox into a
+// transaction.
+const (
+	leastValueKB = 1
+	leastTxnOps  = 3
+)
+
+// checkLimits holds for the limits of now and of later.
+func (s State) checkLimits(field string) error {
+	if s.TxnOps < leastTxnOps {
+		return fmt.Errorf("%s.txn_ops: %d is below %d, the least a job's end takes", field, s.TxnOps, leastTxnOps)
+	}
+	if s.ValueKB < leastValueKB {
+		return fmt.Errorf("%s.value_kb: %v is below %v, the least a job's record takes", field, s.ValueKB, leastValueKB)
+	}
+	return nil
+}
+
+func (s State) checkNext() error {
+	const field = "settings.state.next"
+	if s.Next == nil {
+		return nil
+	}
+	for _, v := range []struct {
+		name        string
+		value, most float64
+	}{
+		{"rps", s.Next.RPS, 1e9}, {"write_rps", s.Next.WriteRPS, 1e9}, {"value_kb", s.Next.ValueKB, 1e6}, {"txn_ops", float64(s.Next.TxnOps), 1e6},
+	} {
+		if v.value < 0 || v.value > v.most {
+			return fmt.Errorf("%s.%s: %v is out of range", field, v.name, v.value)
+		}
+	}
+	return s.Both().checkLimits(field)
+}
+
 // Cloud holds the limits of the cloud.
 type Cloud struct {
 	RPS      float64 `json:"rps"`
@@ -189,11 +247,11 @@
 	if f.Cloud.ListLagS < 0 {
 		return fmt.Errorf("settings.cloud.list_lag_s: %v is negative", f.Cloud.ListLagS)
 	}
-	if f.State.TxnOps < 4 {
-		return fmt.Errorf("settings.state.txn_ops: %d is below 4, the least a job's end takes", f.State.TxnOps)
+	if err := f.State.checkLimits("settings.state"); err != nil {
+		return err
 	}
-	if f.State.ValueKB < 4 {
-		return fmt.Errorf("settings.state.value_kb: %v is below 4, the least a job's record takes", f.State.ValueKB)
+	if err := f.State.checkNext(); err != nil {
+		return err
 	}
 	if len(f.Zones) == 0 {
 		return errors.New("settings.zones: missing")
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -29,7 +29,7 @@
 		term.ledger.NewJob(spec, clock.now, clock.now)
 	}
 	for {
-		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, clock.now)
+		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, clock.now)
 		if s == nil {
 			break
 		}
@@ -140,7 +140,7 @@
 		j.Changed(units.Second, true)
 	}
 	for {
-		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, units.Second)
+		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, units.Second)
 		if s == nil {
 			return rows
 		}
@@ -165,7 +165,7 @@
 		rows := saveAll(term)
 		for b.Loop() {
 			later := testTerm(2, &manualClock{now: units.Second})
-			jobs, err := bookkeeping.ParseJobs(rows)
+			jobs, _, err := bookkeeping.ParseJobs(rows)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -16,12 +16,13 @@
 
 // renting is what the cloud loop remembers.
 type renting struct {
-	catalog        protocol.Catalog
-	catalogVersion uint64
-	catalogAt      units.Micros
-	listAt         units.Micros
-	refused        map[Kind]refusal
-	open           []protocol.Rent // sent, and not answered yet
+	catalog       protocol.Catalog
+	catalogStored map[string]uint64 // versions, by key
+	catalogFormat int               // in which it was stored last
+	catalogAt     units.Micros
+	listAt        units.Micros
+	refused       map[Kind]refusal
+	open          []protocol.Rent // sent, and not answered yet
 }
 
 type refusal struct {
@@ -29,7 +30,9 @@
 	wait  units.Micros
 }
 
-func newRenting() renting { return renting{refused: map[Kind]refusal{}} }
+func newRenting() renting {
+	return renting{refused: map[Kind]refusal{}, catalogStored: map[string]uint64{}}
+}
 
 const (
 	cloudTick    = 500 * units.Millisecond
@@ -75,25 +78,38 @@
 	t.ledger.SetTypes(c.Types)
 	changed := !sameTypes(c, t.rent.catalog)
 	t.rent.catalog, t.rent.catalogAt = c, t.Clock.Steady()
-	version := t.rent.catalogVersion
 	t.mu.Unlock()
 	kick(t.kickRound)
-	if !changed {
-		return
+	if format := t.Format.Level(); changed || format != t.rent.catalogFormat {
+		t.storeCatalog(ctx, c, format)
 	}
-	// Kept for a leader that begins during an outage of the cloud. Whether
-	// the save succeeds matters to nobody now.
-	v, err := t.Store.Commit(ctx, protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.KeyCatalog, Version: version}},
-		Then: []protocol.Change{{Set: bookkeeping.KeyCatalog, Value: protocol.Encode(c)}},
-	}, false, stateCall)
-	if err != nil {
-		t.Log.Info("catalog not stored", "error", err)
-		return
+}
+
+// storeCatalog keeps the catalog for a leader that begins during an outage of
+// the cloud. Whether it succeeds matters to nobody now.
+func (t *Term) storeCatalog(ctx context.Context, c protocol.Catalog, format int) {
+	state := t.Settings.Fleet.State.Both()
+	versions := t.rent.catalogStored
+	for changes := range slices.Chunk(bookkeeping.CatalogChanges(c.Types, format, state.ValueBytes(), versions), state.TxnOps) {
+		txn := protocol.Txn{Then: changes}
+		for _, ch := range changes {
+			key := ch.Set + ch.Delete // one of them
+			txn.If = append(txn.If, protocol.Condition{Key: key, Version: versions[key]})
+		}
+		version, err := t.Store.Commit(ctx, txn, false, stateCall)
+		if err != nil {
+			t.Log.Info("catalog not stored", "error", err)
+			return
+		}
+		for _, ch := range changes {
+			if ch.Set != "" {
+				versions[ch.Set] = version
+			} else {
+				delete(versions, ch.Delete)
+			}
+		}
 	}
-	t.mu.Lock()
-	t.rent.catalogVersion = v
-	t.mu.Unlock()
+	t.rent.catalogFormat = format
 }
 
 // sameTypes compares catalogs but for the spot prices, which move all the time.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -38,12 +38,17 @@
 
 // NewController makes a node from its settings.
 func NewController(s *config.Settings, policy *config.Policy, clock units.Clock, random *rand.Rand, log *slog.Logger) *Controller {
-	store := bookkeeping.NewStore(s.Services.State, s.Fleet.State)
+	others := make([]string, len(s.Others))
+	for i, o := range s.Others {
+		others[i] = o.Node
+	}
+	store := bookkeeping.NewStore(s.Services.State, s.Fleet.State, len(others))
+	format := NewFleetFormat(s.Node, others, store, log)
 	metrics := NewMetrics()
 	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), random, log)
 	c := &Controller{
 		deps: Deps{Settings: s, Policy: policy, Store: store, Cloud: bookkeeping.NewCloud(s.Services.Cloud, s.Fleet.Cloud),
-			Lease: lease, Clock: clock, Log: log, Metrics: metrics},
+			Lease: lease, Clock: clock, Log: log, Metrics: metrics, Format: format},
 		peers: NewPeers(s.Others, clock, random, log),
 		server: transport.NewServer(max(s.Fleet.Resources.MaxConnections-socketsKept, s.Fleet.Resources.MaxConnections/2),
 			3*s.Fleet.Workers.Report()+usersPause),
@@ -56,6 +61,8 @@
 	lease.Connected = func() bool {
 		return len(s.Others) == 0 || c.peers.ReachesAny() || clock.Steady()-units.Micros(c.lastWorker.Load()) < linkFresh
 	}
+	lease.Able = func() bool { return !format.Newer() }
+	metrics.Gauge("dunestand_fleet_format", func() float64 { return float64(format.Level()) })
 	metrics.Gauge("dunestand_lease_remaining_seconds", func() float64 { return lease.Remaining().Seconds() })
 	metrics.Gauge("dunestand_state_requests_total", func() float64 { return float64(store.Stats.Requests.Load()) })
 	metrics.Gauge("dunestand_state_writes_total", func() float64 { return float64(store.Stats.Writes.Load()) })
@@ -77,6 +84,7 @@
 		func() { errs <- c.server.Serve(ctx, clients) },
 		func() { errs <- transport.ServeMesh(ctx, mesh, c.deps.Log, c.answerPeer) },
 		func() { c.peers.Run(ctx) },
+		func() { c.deps.Format.Run(ctx, func() bool { return c.leading() != nil }) },
 		func() { c.deps.Lease.Run(ctx, c.lead) },
 	} {
 		wg.Add(1)
@@ -92,6 +100,8 @@
 }
 
 func (c *Controller) lead(ctx context.Context, number uint64) {
+	c.deps.Store.Lead(true)
+	defer c.deps.Store.Lead(false)
 	t := NewTerm(number, c.deps)
 	c.term.Store(t)
 	t.Run(ctx)
--- /dev/null
+++ b/internal/coordination/format.go
@@ -0,0 +1,145 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// FleetFormat answers one question, for all that is written: which format of
+// records does every controller read that may ever lead again? During an upgrade
+// controllers of the version before are among them, and any of them may lead at
+// any moment. Each controller says in a record of its own, durably, which format
+// it reads; once all that are configured have said so, the leader raises the
+// fleet's format. It is never lowered, so a leader that comes later decides the
+// same.
+type FleetFormat struct {
+	node  string
+	nodes []string // all that are configured
+	store *bookkeeping.Store
+	log   *slog.Logger
+
+	level      atomic.Int64
+	newer      atomic.Bool // the fleet has a format that this version does not know
+	registered bool
+}
+
+const formatEvery = units.Second
+
+// NewFleetFormat makes the fleet's format as a controller knows it.
+func NewFleetFormat(node string, others []string, store *bookkeeping.Store, log *slog.Logger) *FleetFormat {
+	f := &FleetFormat{node: node, nodes: append([]string{node}, others...), store: store, log: log}
+	f.level.Store(bookkeeping.FormatOld)
+	return f
+}
+
+// Level is the format that may be written.
+func (f *FleetFormat) Level() int { return int(f.level.Load()) }
+
+// Newer tells whether records may have a format that this version does not
+// know. It then must not lead: what it cannot read it would forget.
+func (f *FleetFormat) Newer() bool { return f.newer.Load() }
+
+// Run tells the others which format this node reads, and raises the fleet's
+// while it leads.
+func (f *FleetFormat) Run(ctx context.Context, leads func() bool) {
+	for wait := units.Micros(0); pause(ctx, wait); wait = formatEvery {
+		err := f.step(ctx, leads())
+		if err != nil {
+			f.log.Debug("the fleet's format is not known for certain", "error", err)
+		}
+		if err == nil && f.registered && f.Level() >= bookkeeping.Format {
+			return
+		}
+	}
+}
+
+// Read finds out what the fleet's format is now.
+func (f *FleetFormat) Read(ctx context.Context) error {
+	_, err := f.read(ctx)
+	return err
+}
+
+func (f *FleetFormat) read(ctx context.Context) (map[string]stored, error) {
+	list, err := f.store.List(ctx, bookkeeping.PrefixFormats, "", stateCall)
+	if err != nil {
+		return nil, err
+	}
+	known := map[string]stored{}
+	for _, item := range list.Items {
+		var r bookkeeping.FormatRecord
+		if err := protocol.Decode(item.Value, &r); err != nil {
+			return nil, fmt.Errorf("record %s: %w", item.Key, err)
+		}
+		known[item.Key] = stored{r.Format, item.Version}
+	}
+	f.learn(known[bookkeeping.KeyFleetFormat].format)
+	return known, nil
+}
+
+// stored is a format as a record has it.
+type stored struct {
+	format  int
+	version uint64
+}
+
+func (f *FleetFormat) learn(level int) {
+	if level > bookkeeping.Format && !f.newer.Swap(true) {
+		f.log.Error("the fleet's records have a format of a later version; this node does not lead", "format", level, "known", bookkeeping.Format)
+	}
+	if level > f.Level() {
+		f.level.Store(int64(level))
+		f.store.Tighten()
+		f.log.Info("fleet format", "format", level)
+	}
+}
+
+func (f *FleetFormat) step(ctx context.Context, leads bool) error {
+	known, err := f.read(ctx)
+	if err != nil {
+		return err
+	}
+	own := bookkeeping.KeyFormat(f.node)
+	if known[own].format < bookkeeping.Format {
+		if err := f.write(ctx, own, bookkeeping.Format, known[own].version); err != nil {
+			return err
+		}
+		f.log.Info("format told", "node", f.node, "format", bookkeeping.Format)
+		known[own] = stored{format: bookkeeping.Format}
+	}
+	f.registered = true
+	if level := readByAll(f.nodes, known); leads && level > f.Level() {
+		if err := f.write(ctx, bookkeeping.KeyFleetFormat, level, known[bookkeeping.KeyFleetFormat].version); err != nil {
+			return err
+		}
+		f.learn(level)
+	}
+	return nil
+}
+
+// readByAll gives the newest format that every controller reads.
+func readByAll(nodes []string, known map[string]stored) int {
+	level := bookkeeping.Format
+	for _, node := range nodes {
+		level = min(level, max(known[bookkeeping.KeyFormat(node)].format, bookkeeping.FormatOld))
+	}
+	return level
+}
+
+func (f *FleetFormat) write(ctx context.Context, key string, format int, on uint64) error {
+	_, err := f.store.Commit(ctx, protocol.Txn{
+		If:   []protocol.Condition{{Key: key, Version: on}},
+		Then: []protocol.Change{{Set: key, Value: protocol.Encode(bookkeeping.FormatRecord{Format: format, By: f.node})}},
+	}, true, stateCall)
+	var conflict *bookkeeping.ConflictError
+	if errors.As(err, &conflict) {
+		return errors.New("another write came first") // the next look tells
+	}
+	return err
+}
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -29,7 +29,7 @@
 // save carries out all saves that are due.
 func (t *Term) save() {
 	for {
-		s := t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, t.Clock.Steady())
+		s := t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{Tasks: true}, t.Clock.Steady())
 		if s == nil {
 			return
 		}
@@ -430,6 +430,7 @@
 			r.Seq += 10
 			return r
 		}
+		done := 0
 		return map[string]float64{
 			"report": testing.AllocsPerRun(100, func() {
 				r := next()
@@ -441,8 +442,11 @@
 				term.fill(m, units.Second)
 			}),
 			"save": testing.AllocsPerRun(100, func() {
-				term.ledger.Jobs["j-000000"].Changed(units.Second, true)
-				s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Ops: 12}, units.Second)
+				done++
+				j := term.ledger.Jobs["j-000299"]
+				term.ledger.Done(j, done, units.Second)
+				j.Changed(units.Second, true)
+				s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{}, units.Second)
 				term.ledger.Applied(s, 1)
 			}),
 		}
@@ -463,12 +467,13 @@
 	}
 	term.save()
 	for _, j := range term.ledger.Jobs {
+		term.ledger.Done(j, 0, clock.now)
 		j.Changed(clock.now, true)
 	}
 	clock.now += units.Second
 	term.ledger.NewJob(*modelSpec("j-000100"), clock.now, clock.now)
 	term.cancelJob(term.ledger.Jobs["j-000030"])
-	s := term.ledger.BuildSave("x", term.heads, bookkeeping.SaveLimits{Ops: 12}, clock.now)
+	s := term.ledger.BuildSave("x", term.heads, bookkeeping.SaveLimits{}, clock.now)
 	if first := s.Jobs()[:2]; !slices.Contains(first, "j-000100") || !slices.Contains(first, "j-000030") {
 		t.Errorf("saved first: %v", first)
 	}
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -45,9 +45,12 @@
 	if types != nil {
 		return types
 	}
-	item, ok, err := c.deps.Store.Get(ctx, bookkeeping.KeyCatalog, arrivalCall)
-	var catalog protocol.Catalog
-	if err != nil || !ok || protocol.Decode(item.Value, &catalog) != nil {
+	list, err := c.deps.Store.List(ctx, bookkeeping.KeyCatalog, "", arrivalCall)
+	if err != nil {
+		return nil
+	}
+	catalog, _, err := bookkeeping.ParseCatalog(list.Items)
+	if err != nil || len(catalog.Types) == 0 {
 		return nil
 	}
 	types = map[string]protocol.MachineType{}
@@ -67,7 +70,7 @@
 	if lease.Unanswered() >= lease.timing.Length || !store.Spare() || !store.WritesSpare() {
 		return refused
 	}
-	if status, _ := judge(spec, c.deps.Settings, c.machineTypes(ctx)); status != 0 {
+	if status, _ := judge(spec, c.deps.Settings, c.machineTypes(ctx), c.deps.Format.Level()); status != 0 {
 		return refused
 	}
 	if c.arrivals.alone.Add(1) > int64(maxJobs(c.deps.Settings)/(1+len(c.deps.Settings.Others))) {
@@ -130,7 +133,7 @@
 				t.Log.Info("job taken in", "job", a.Spec.ID, "class", a.Spec.Class, "team", a.Spec.Team, "tasks", a.Spec.Tasks)
 			}
 			t.ledger.TakeIn(a, t.Clock.Steady())
-		} else if len(over.Then) < t.Settings.Fleet.State.TxnOps {
+		} else if len(over.Then) < t.Settings.Fleet.State.Both().TxnOps {
 			over.If = append(over.If, protocol.Condition{Key: item.Key, Version: item.Version})
 			over.Then = append(over.Then, protocol.Change{Delete: item.Key})
 		}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -94,6 +94,8 @@
 	// Connected tells whether this node hears workers or other controllers.
 	// One that hears nobody lets the others claim first.
 	Connected func() bool
+	// Able tells whether this node could lead at all.
+	Able func() bool
 
 	mu         sync.Mutex
 	watch      watch
@@ -104,6 +106,7 @@
 	resigning  bool
 	notBefore  units.Micros
 	saves      uint64
+	backFor    units.Micros // once resigned, longer than usual
 	handedAt   units.Micros // as in the record
 	answeredAt units.Micros // when the state service last answered a read or a renewal
 }
@@ -169,6 +172,14 @@
 	f.resigning = true
 }
 
+// StandBack gives the lease up for a node that cannot lead, and leaves it to the
+// others for a while.
+func (f *FleetLease) StandBack(d units.Micros) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resigning, f.backFor = true, d
+}
+
 // HandOver gives the lease up for a node that has fallen behind, and tells
 // whether it did: not if any holder did so a short time ago.
 func (f *FleetLease) HandOver(wall units.Micros) bool {
@@ -300,7 +311,8 @@
 		f.version = version
 		if rec.Resigned {
 			f.lose("resigned")
-			f.notBefore = f.clock.Steady() + 2*f.timing.Length
+			f.notBefore = f.clock.Steady() + max(2*f.timing.Length, f.backFor)
+			f.backFor = 0
 			return f.timing.Renew
 		}
 		f.validUntil = sent + f.timing.Length
@@ -355,7 +367,7 @@
 	}
 	f.answeredAt = now
 	f.watch.saw(rec, version, now)
-	due := f.watch.claimable(f.node, now) && now >= f.notBefore
+	due := f.watch.claimable(f.node, now) && now >= f.notBefore && (f.Able == nil || f.Able())
 	rec, version, since := f.watch.record, f.watch.version, f.watch.since
 	f.mu.Unlock()
 	if !due {
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -52,7 +52,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	lease := NewFleetLease("n", nil, clock, TimingFor(modelLease), rand.New(rand.NewPCG(1, number)), log)
 	lease.holding, lease.term, lease.validUntil = true, number, 1<<60
-	return NewTerm(number, Deps{Settings: settings, Policy: config.DefaultPolicy(), Lease: lease, Clock: clock, Log: log, Metrics: NewMetrics(), Unreached: func() int { return 0 }, PeerInReach: func() bool { return false }})
+	return NewTerm(number, Deps{Settings: settings, Policy: config.DefaultPolicy(), Lease: lease, Clock: clock, Log: log, Metrics: NewMetrics(), Format: NewFleetFormat("n", nil, nil, log), Unreached: func() int { return 0 }, PeerInReach: func() bool { return false }})
 }
 
 type modelStore struct {
@@ -151,7 +151,7 @@
 			rows = append(rows, m.store.items[key])
 		}
 	}
-	jobs, err := bookkeeping.ParseJobs(rows)
+	jobs, _, err := bookkeeping.ParseJobs(rows)
 	if err != nil {
 		m.t.Fatalf("restore: %v", err)
 	}
@@ -380,7 +380,7 @@
 func (m *model) write() {
 	l := m.leader.ledger
 	if m.save == nil {
-		m.save = l.BuildSave(m.leader.saveID(), m.leader.heads, bookkeeping.SaveLimits{Ops: 12, Lazy: units.Second, Tasks: true}, m.clock.now)
+		m.save = l.BuildSave(m.leader.saveID(), m.leader.heads, bookkeeping.SaveLimits{Lazy: units.Second, Tasks: true}, m.clock.now)
 		return
 	}
 	rev, failed := m.store.commit(m.t, m.save.Txn)
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -80,6 +80,9 @@
 		return
 	}
 	l.heard.Store(int64(p.clock.Steady()))
+	if f.Kind != protocol.FrameAnswer {
+		return
+	}
 	if f.ID == 0 { // the answer to a ping
 		l.leads.Store(f.Job != "")
 	}
@@ -199,7 +202,7 @@
 		r := serve(ctx, f)
 		out.Status, out.Body, out.RetryAfter = r.Status, r.Body, r.RetryAfter
 	default:
-		return nil, errors.New("not a request")
+		return nil, nil // of a later version, or no request: ignored
 	}
 	return protocol.EncodeFrame(out), nil
 }
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -187,6 +187,10 @@
 	t.Log.Debug("task ended", "task", a.Task(), "attempt", a.Number, "machine", m.ID, "cause", task.Cause, "saved", task.Saved)
 	switch task.Cause {
 	case protocol.CauseDone:
+		if j.Service() {
+			t.ledger.Ended(a, false, now)
+			break
+		}
 		t.turnover.freed += j.Spec.Need.CPU
 		t.ledger.Completed(a, now)
 		t.ledger.Done(j, key.Index, now)
@@ -194,7 +198,11 @@
 			kick(t.kickSave)
 		}
 	case protocol.CauseError:
-		t.ledger.Failed(a, now)
+		if j.Service() {
+			t.ledger.Ended(a, true, now)
+		} else {
+			t.ledger.Failed(a, now)
+		}
 		if m.SetAside {
 			t.Log.Info("machine set aside as faulty", "machine", m.ID, "task", a.Task())
 		}
@@ -226,8 +234,12 @@
 	case protocol.TaskRunning:
 		if a.Stage != bookkeeping.Running {
 			a.Stage, a.RunningSince = bookkeeping.Running, now
+			j.Begun = true
 			t.ledger.HoldsImage(m, j)
 		}
+		if j.Service() {
+			t.ledger.Steady(a, now)
+		}
 	case protocol.TaskSaving:
 		a.Stage = bookkeeping.Saving
 	}
@@ -261,7 +273,7 @@
 		case task.Stage == protocol.TaskExited:
 			// A completion that is not durable stays with the worker: a later
 			// leader must be able to learn of it.
-			if j == nil || j.Cancelled || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index) {
+			if j == nil || j.Cancelled || j.Service() || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index) {
 				out = append(out, protocol.Command{Verb: protocol.Forget, Task: name, Attempt: task.Attempt})
 			}
 		case a == nil:
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -301,7 +301,7 @@
 
 // overdue tells whether a job has waited too long and has nothing done yet.
 func (t *Term) overdue(j *bookkeeping.Job) bool {
-	return j.DoneCount() == 0 && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
+	return j.DoneCount() == 0 && !(j.Service() && j.Begun) && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
 }
 
 // turnover is what tasks that end by themselves leave, as observed.
@@ -447,12 +447,19 @@
 		if a.Job.Spec.Checkpoint > 0 {
 			v.Loses = a.Job.Spec.Save
 		}
+		if a.Job.Service() {
+			v.Loses += serviceLoss
+		}
 		refs.victims = append(refs.victims, a)
 		out = append(out, v)
 	}
 	return out
 }
 
+// serviceLoss puts replicas of services last among the tasks of their priority
+// that could be stopped: what they lose is not work that can be done again.
+const serviceLoss = 1_000_000 * units.Second
+
 func (t *Term) rankInput(j *bookkeeping.Job) config.RankInput {
 	waited := max(0, t.Clock.Wall()-j.Submitted)
 	estimate := t.ledger.Estimate(j)
@@ -502,7 +509,8 @@
 			run -= now - a.RunningSince
 		}
 		switch {
-		case m.SetAside:
+		case m.SetAside, a.Job.Service():
+			// A replica begins elsewhere once this one is gone: the sooner the better.
 		case run < left && run > 0: // it will be done in time
 			continue
 		case a.Job.Spec.Checkpoint > 0 && left > a.Job.Spec.Save+3*report: // saving can wait
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -25,6 +25,7 @@
 	Clock    units.Clock
 	Log      *slog.Logger
 	Metrics  *Metrics
+	Format   *FleetFormat
 	// Unreached counts the other controllers that cannot be reached.
 	Unreached func() int
 	// PeerInReach tells whether any other controller answers.
@@ -78,7 +79,7 @@
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
 	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
-		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State.ValueBytes()), heads: make([]uint64, bookkeeping.Buckets),
+		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State), heads: make([]uint64, bookkeeping.Buckets),
 		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{},
 		rent: newRenting(), held: map[*bookkeeping.Machine]*bookkeeping.Job{},
 		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1)}
@@ -129,40 +130,68 @@
 		t.Log.Info("buckets not claimed yet", "error", err)
 		return false
 	}
+	if err := t.Format.Read(ctx); err != nil {
+		t.Log.Info("the fleet's format is not read yet", "error", err)
+		return false
+	}
+	if t.Format.Newer() {
+		t.Lease.StandBack(standBack)
+		return false
+	}
 	rows, err := t.listAll(ctx, bookkeeping.PrefixJobs)
 	if err != nil {
 		t.Log.Info("records not read yet", "error", err)
 		return false
 	}
-	jobs, err := bookkeeping.ParseJobs(rows)
+	jobs, orphans, err := bookkeeping.ParseJobs(rows)
+	if err == nil {
+		for _, id := range sortedKeys(orphans) {
+			_, over, ferr := t.readFinal(ctx, id)
+			if ferr != nil {
+				t.Log.Info("records not read yet", "error", ferr)
+				return false
+			}
+			if !over {
+				err = fmt.Errorf("record %s: belongs to no job", orphans[id][0])
+			}
+		}
+	}
 	if err != nil {
-		// Leading without such a job would forget it, so nobody leads until
-		// an operator has looked.
-		t.Log.Error("records are not readable; nothing is placed", "error", err)
+		// Leading without such a job would forget it. Another node may be of a
+		// version that reads it; if none is, nobody leads until an operator has
+		// looked.
+		t.Log.Error("records are not readable; nothing is placed, and this node stands back", "error", err)
+		t.Lease.StandBack(standBack)
 		return false
 	}
-	item, ok, err := t.Store.Get(ctx, bookkeeping.KeyCatalog, stateCall)
+	list, err := t.listAll(ctx, bookkeeping.KeyCatalog)
 	if err != nil {
 		return false
 	}
-	var catalog protocol.Catalog
-	if ok {
-		if err := protocol.Decode(item.Value, &catalog); err != nil {
-			t.Log.Error("stored catalog is not readable", "error", err)
-		}
+	catalog, stored, err := bookkeeping.ParseCatalog(list)
+	if err != nil {
+		t.Log.Error("stored catalog is not readable", "error", err)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rent.catalogVersion = item.Version
+	t.rent.catalogStored = stored
+	for _, id := range sortedKeys(orphans) {
+		t.ledger.Leave(id, orphans[id])
+	}
 	t.install(jobs, catalog)
 	return true
 }
 
+// standBack is for how long a node that could not read the records leaves the
+// lease to others.
+const standBack = 30 * units.Second
+
 // install takes over what the records say, and then the reports that came in
 // meanwhile.
 func (t *Term) install(jobs []*bookkeeping.Job, catalog protocol.Catalog) {
 	now := t.Clock.Steady()
 	t.ledger.SetTypes(catalog.Types)
+	t.ledger.Raise(t.Format.Level(), now)
 	for _, j := range jobs {
 		j.Since = now
 		t.ledger.Add(j)
@@ -209,7 +238,7 @@
 		txn.Then = append(txn.Then, protocol.Change{Set: key, Value: protocol.Encode(head)})
 		claiming = append(claiming, b)
 	}
-	step := t.Settings.Fleet.State.TxnOps
+	step := t.Settings.Fleet.State.Both().TxnOps
 	for from := 0; from < len(claiming); from += step {
 		to := min(from+step, len(claiming))
 		version, err := t.Store.Commit(ctx, protocol.Txn{If: txn.If[from:to], Then: txn.Then[from:to]}, true, stateCall)
@@ -274,8 +303,9 @@
 			t.mu.Lock()
 			var s *bookkeeping.Save
 			if t.saving < maxSaving {
-				s = t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{
-					Ops: t.Settings.Fleet.State.TxnOps, Lazy: lazySave, Tasks: t.Store.WritesSpare()}, t.Clock.Steady())
+				now := t.Clock.Steady()
+				t.ledger.Raise(t.Format.Level(), now)
+				s = t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{Lazy: lazySave, Tasks: t.Store.WritesSpare()}, now)
 			}
 			if s != nil {
 				t.saving++
@@ -311,7 +341,7 @@
 		var conflict *bookkeeping.ConflictError
 		switch {
 		case errors.As(err, &conflict):
-			if uncertain {
+			if uncertain && s.Probe() != "" {
 				version, ours, err := t.probe(ctx, s)
 				if err != nil {
 					break
@@ -325,8 +355,9 @@
 			return
 		case errors.Is(err, bookkeeping.ErrUncertain):
 			uncertain = true
-		case !errors.Is(err, bookkeeping.ErrRefused):
-			t.Log.Error("save rejected", "jobs", s.Jobs(), "error", err)
+		case errors.Is(err, bookkeeping.ErrRejected):
+			t.rejected(ctx, s, uncertain)
+			return
 		}
 		if !pause(ctx, wait) {
 			return
@@ -334,6 +365,42 @@
 	}
 }
 
+// rejectedPause spaces saves that the state service does not take.
+const rejectedPause = 400 * units.Millisecond
+
+// rejected handles a save that the state service will not take as it is: it has
+// lower limits now. The save is built anew. But one that was sent before and got
+// no answer may have been carried out, or may be still.
+func (t *Term) rejected(ctx context.Context, s *bookkeeping.Save, uncertain bool) {
+	for uncertain {
+		version, ours, err := t.probe(ctx, s)
+		if err == nil && ours {
+			t.applied(s, version)
+			return
+		}
+		if err == nil {
+			// Only a new term's claim makes certain that it never is.
+			t.Log.Info("save rejected after a try without an answer; the term is given up", "jobs", s.Jobs())
+			t.Lease.Resign()
+			return
+		}
+		if !pause(ctx, rejectedPause) {
+			return
+		}
+	}
+	t.mu.Lock()
+	first := t.ledger.Tighten()
+	t.mu.Unlock()
+	t.Store.Tighten()
+	t.Log.Error("save rejected; it is built anew", "jobs", s.Jobs(), "changes", len(s.Txn.Then), "limits_lowered", first)
+	if !first && !pause(ctx, rejectedPause) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Rejected(s, t.Clock.Steady())
+}
+
 func (t *Term) probe(ctx context.Context, s *bookkeeping.Save) (uint64, bool, error) {
 	item, ok, err := t.Store.Get(ctx, s.Probe(), stateCall)
 	if err != nil || !ok {
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -21,7 +21,8 @@
 	server := httptest.NewServer(state)
 	t.Cleanup(server.Close)
 	term := testTerm(number, &manualClock{now: units.Second})
-	term.Store = bookkeeping.NewStore(strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4})
+	term.Store = bookkeeping.NewStore(strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, 0)
+	term.Format.store = term.Store
 	return term
 }
 
@@ -250,7 +251,7 @@
 	spec.Tasks = 1
 	j := l.NewJob(spec, clock.now, clock.now)
 	save := func() {
-		if s := l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, clock.now); s != nil {
+		if s := l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, clock.now); s != nil {
 			l.Applied(s, 1)
 		}
 	}
@@ -287,7 +288,7 @@
 	l := term.ledger
 	j := l.NewJob(*modelSpec("j-000001"), clock.now, clock.now)
 	save := func() {
-		l.Applied(l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Ops: 12, Tasks: true}, clock.now), 1)
+		l.Applied(l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, clock.now), 1)
 	}
 	save()
 	m := l.Machine("i-000001", "m", "a", true, clock.now)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -136,7 +136,7 @@
 
 // judge tells why a new job cannot be taken; status 0 if it can.
 func (t *Term) judge(spec *protocol.JobSpec) (int, string) {
-	status, why := judge(spec, t.Settings, t.ledger.Types)
+	status, why := judge(spec, t.Settings, t.ledger.Types, t.Format.Level())
 	if status == 0 && len(t.ledger.Jobs) >= maxJobs(t.Settings) {
 		return http.StatusTooManyRequests, "too many unfinished jobs"
 	}
@@ -144,13 +144,16 @@
 }
 
 // judge tells why a job could never run, or why that is not known yet.
-func judge(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType) (int, string) {
+func judge(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType, format int) (int, string) {
 	i := slices.IndexFunc(s.Fleet.Teams, func(t config.Team) bool { return t.Name == spec.Team })
 	if i < 0 {
 		return http.StatusUnprocessableEntity, "crew: unknown team"
 	}
-	if bookkeeping.LimitOf(s.Fleet.Teams[i]).Fits(spec.Need) == 0 {
+	switch n := bookkeeping.LimitOf(s.Fleet.Teams[i]).Fits(spec.Need); {
+	case n == 0:
 		return http.StatusUnprocessableEntity, "a task needs more than the team's limit"
+	case spec.Shape == protocol.Service && n < spec.Tasks:
+		return http.StatusUnprocessableEntity, "a service's tasks together need more than the team's limit"
 	}
 	if len(types) == 0 {
 		return http.StatusServiceUnavailable, "the machine types are not known yet"
@@ -164,8 +167,11 @@
 	switch {
 	case !fits:
 		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
-	case !bookkeeping.RecordFits(*spec, s.Fleet.State.ValueBytes()):
+	case !bookkeeping.Fits(spec, bookkeeping.Format, s.Fleet.State):
 		return http.StatusUnprocessableEntity, "the job's texts are too long to be kept"
+	case format < bookkeeping.FormatNew && (spec.Shape == protocol.Service || !bookkeeping.Fits(spec, format, s.Fleet.State)):
+		// A leader of the version before would take a service for an array.
+		return http.StatusServiceUnavailable, "not before all controllers are upgraded"
 	}
 	return 0, ""
 }
@@ -308,7 +314,7 @@
 		return unavailable("state service is out of reach"), true
 	}
 	if ok {
-		jobs, err := bookkeeping.ParseJobs([]protocol.Item{item})
+		jobs, _, err := bookkeeping.ParseJobs([]protocol.Item{item})
 		if err != nil {
 			return unavailable("the job's record is not readable"), true
 		}
--- a/internal/protocol/mesh.go
+++ b/internal/protocol/mesh.go
@@ -50,7 +50,8 @@
 
 // DecodeFrame reads a frame. The generated code trusts its input, so a frame
 // that points outside itself makes it panic; here that is an error like any
-// other.
+// other. A kind that is not known is none: controllers of a later version may
+// send it, and whoever gets it ignores it.
 func DecodeFrame(data []byte) (f Frame, err error) {
 	if len(data) < 8 {
 		return Frame{}, errors.New("frame too short")
@@ -66,8 +67,5 @@
 	w := wire.GetRootAsFrame(data, 0)
 	f = Frame{ID: w.Id(), Kind: w.Kind(), Job: string(w.Uid()), Body: append([]byte(nil), w.BodyBytes()...),
 		Status: int(w.Status()), RetryAfter: int(w.RetryAfter())}
-	if _, ok := wire.EnumNamesKind[f.Kind]; !ok {
-		return Frame{}, errors.New("frame of an unknown kind")
-	}
 	return f, nil
 }
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -222,6 +222,9 @@
 		}
 		job.Deadline = max(units.Seconds(*w.Due), 1)
 	}
+	if shape == Service {
+		job.Estimate, job.Deadline = 0, 0 // it has no end
+	}
 	return job, nil
 }
 
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -130,7 +130,8 @@
 }
 
 // ServeMesh answers the frames of other controllers until ctx ends. A handler
-// that reports an error ends the connection its frame came on.
+// that reports an error ends the connection its frame came on; one that gives
+// nothing leaves the frame unanswered.
 func ServeMesh(ctx context.Context, l net.Listener, log *slog.Logger, handle func(ctx context.Context, frame []byte) ([]byte, error)) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
@@ -178,6 +179,9 @@
 				cancel()
 				return
 			}
+			if answer == nil {
+				return
+			}
 			write.Lock()
 			defer write.Unlock()
 			_ = c.SetWriteDeadline(time.Now().Add(linkWrite))
