Stop tasks for urgent ones at once; place replicas where they are up soonest

Stops are now sent straight to the worker where its report is more than a second away: a late or repeated stop is harmless, a start is not. Of machines without the image a replica goes to the one on which it is up soonest.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -37,6 +37,7 @@
 	Held       bool // its room is kept for a job that goes before the rest
 	Size, Free units.Resources
 	Freeing    units.Resources // held by tasks that were told to stop
+	FetchRate  units.Amount    // GB a second
 	Images     func(name string) bool
 	// Victims lists the tasks that could be stopped; nil if none may be. It is
 	// asked once, and only if room has to be made.
@@ -278,16 +279,21 @@
 			continue
 		}
 		c := companion{machine: k, key: [7]int64{5: int64(m.Free.CPU), 6: -int64(m.Reports)}}
-		if j.Spec.Shape == protocol.Service {
+		service := j.Spec.Shape == protocol.Service
+		if service {
 			// Replicas go to different zones, then to different machines.
 			c.key[0], c.key[1] = -int64(j.LiveIn[m.Zone]), -int64(j.LiveOn[k])
 		}
 		if !m.Slow {
 			c.key[2] = 1
 		}
-		if m.Images(j.Spec.Image) {
+		switch {
+		case m.Images(j.Spec.Image):
 			// Many may hold it, in a large fleet with room: the soonest reached.
 			c.key[3], c.key[5], c.key[6] = 1, c.key[6], c.key[5]
+		case service:
+			// Each second counts: the one on which the replica is up soonest.
+			c.key[5], c.key[6] = -m.upIn(j.Spec.ImageSize), c.key[5]
 		}
 		if m.Answering {
 			c.key[4] = 1
@@ -300,6 +306,15 @@
 	return p.companions
 }
 
+// upIn is when a task with an image of that size would run on the machine, in
+// half seconds, image fetch included.
+func (m *MachineView) upIn(image units.Amount) int64 {
+	if m.FetchRate <= 0 {
+		return int64(m.Reports)
+	}
+	return int64(m.Reports) + int64(2*image/m.FetchRate)
+}
+
 // hold keeps the room of some machines together for a job, or small tasks would
 // go on taking it bit by bit: of the largest, where tasks end most often, those
 // that have most room.
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -85,6 +85,9 @@
 		t.Log.Info("machine reports", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "tasks", len(r.Tasks))
 	}
 	m.Seen, m.Session, m.Seq, m.LastAnswered = true, r.Session, r.Seq, now
+	if r.Endpoint != "" {
+		m.Endpoint = r.Endpoint
+	}
 	m.Stage = protocol.MachineRunning
 	if r.Noticed {
 		if m.NoticeEnds == 0 {
@@ -235,6 +238,7 @@
 		if a.Stage != bookkeeping.Running {
 			a.Stage, a.RunningSince = bookkeeping.Running, now
 			j.Begun = true
+			t.Log.Debug("task runs", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
 			t.ledger.HoldsImage(m, j)
 		}
 		if j.Service() {
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -242,6 +242,7 @@
 	for _, p := range wanted.Stops {
 		a := refs.victims[p.Victim]
 		t.ledger.Stop(a, a.Job.Spec.Save+2*units.Second)
+		t.stopSoon(a.Machine, now)
 		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID,
 			"class", a.Job.Spec.Class, "for", refs.jobs[p.For].Spec.ID, "for_class", refs.jobs[p.For].Spec.Class)
 	}
@@ -348,7 +349,8 @@
 func (t *Term) machineView(m *bookkeeping.Machine, now units.Micros, answering bool) MachineView {
 	next := max(0, m.LastAnswered+t.Settings.Fleet.Workers.Report()-now)
 	return MachineView{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Accepts: t.accepts(m, now),
-		Size: m.Size, Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering,
+		FetchRate: units.AmountOf(t.ledger.Types[m.Type].FetchRate),
+		Size:      m.Size, Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering,
 		Reports: int(next / (units.Second / 2))}
 }
 
