Wake the machine that is to start a replica, so that it reports at once

A start sent straight to the worker was ruled out: it may be carried out minutes later. The start of a task that the job does not have is refused whenever it comes, and the refusal makes the worker report.

--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -11,43 +11,54 @@
 )
 
 // Starts travel only in answers to reports, since a command that is sent straight
-// to a worker may be carried out minutes later. A stop may come late, or twice:
-// its attempt was to be stopped for good. So where the next report is some time
-// away, room that a task must leave for an urgent one is asked for at once. The
-// end of the task makes its worker report, and the answer brings the start.
+// to a worker may be carried out minutes later. But a report may be seconds away,
+// and what is urgent need not wait for it:
+//
+//   - A stop may come late, or twice: its attempt was to be stopped for good. The
+//     end of the task makes the worker report.
+//   - To have a machine report that is to start something, it is woken by the start
+//     of a task that its job does not have. It refuses that, whenever it comes, and
+//     the refusal makes it report; the answer brings the real start.
 
 const (
-	stopCall     = units.Second
-	stopsAtATime = 16
-	stopsWorth   = units.Second // a report that is due sooner carries the stop
+	directCall    = units.Second
+	directAtATime = 16
+	directWorth   = units.Second // a report that is due sooner is waited for
 )
 
-// stopSoon notes that tasks on a machine are to be stopped without waiting for
-// its next report.
-func (t *Term) stopSoon(m *bookkeeping.Machine, now units.Micros) {
-	if m.Endpoint != "" && m.LastAnswered+t.Settings.Fleet.Workers.Report()-now > stopsWorth {
-		t.stops[m.ID] = true
-		kick(t.kickStops)
+// hurry notes that a machine is to be told something before its next report:
+// which tasks to stop, and, if a task of a job waits to be started there, to
+// report.
+func (t *Term) hurry(m *bookkeeping.Machine, starts *bookkeeping.Job, now units.Micros) {
+	if m.Endpoint == "" || m.LastAnswered+t.Settings.Fleet.Workers.Report()-now <= directWorth {
+		return
 	}
+	if t.hurried[m.ID] == nil || starts != nil {
+		t.hurried[m.ID] = &hurried{starts}
+	}
+	kick(t.kickDirect)
 }
 
-// stopLoop sends stops to machines.
-func (t *Term) stopLoop(ctx context.Context) {
+// hurried is why a machine is told something before its next report.
+type hurried struct{ starts *bookkeeping.Job }
+
+// directLoop tells machines what cannot wait.
+func (t *Term) directLoop(ctx context.Context) {
 	caller := transport.NewCaller(protocol.MaxBody)
-	slots := make(chan struct{}, stopsAtATime)
+	slots := make(chan struct{}, directAtATime)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.kickStops:
+		case <-t.kickDirect:
 		}
 		t.mu.Lock()
-		machines := sortedKeys(t.stops)
-		clear(t.stops)
+		machines := t.hurried
+		t.hurried = map[string]*hurried{}
 		t.mu.Unlock()
-		for _, id := range machines {
+		for _, id := range sortedKeys(machines) {
 			select {
 			case slots <- struct{}{}:
 			case <-ctx.Done():
@@ -57,35 +68,39 @@
 			go func() {
 				defer wg.Done()
 				defer func() { <-slots }()
-				endpoint, body := t.stopsFor(id)
+				endpoint, body := t.direct(id, machines[id].starts)
 				if body == nil {
 					return
 				}
-				if status, _, err := caller.Post(ctx, endpoint, protocol.PathCommands, body, stopCall); err != nil || status != 200 {
-					t.Log.Debug("stops not taken", "machine", id, "status", status, "error", err)
+				if status, _, err := caller.Post(ctx, endpoint, protocol.PathCommands, body, directCall); err != nil || status != 200 {
+					t.Log.Debug("direct commands not taken", "machine", id, "status", status, "error", err)
 				}
 			}()
 		}
 	}
 }
 
-// stopsFor gives the stops for a machine as direct commands, and where to send
+// direct gives the commands for a machine that cannot wait, and where to send
 // them.
-func (t *Term) stopsFor(id string) (endpoint string, body []byte) {
+func (t *Term) direct(id string, starts *bookkeeping.Job) (endpoint string, body []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.ledger.Machines[id]
 	if m == nil || !m.Settled || !t.Lease.Valid(t.number) {
 		return "", nil
 	}
-	var stops []protocol.Command
+	var out []protocol.Command
 	for _, a := range m.Sorted() {
-		if a.Stop && (a.Stage == bookkeeping.Running || a.Stage == bookkeeping.Fetching) && len(stops) < protocol.MaxCommands {
-			stops = append(stops, stopCommand(a.Task(), a.Number, a.Grace))
+		if a.Stop && (a.Stage == bookkeeping.Running || a.Stage == bookkeeping.Fetching) && len(out) < protocol.MaxCommands {
+			out = append(out, stopCommand(a.Task(), a.Number, a.Grace))
 		}
 	}
-	if len(stops) == 0 {
+	if starts != nil && starts.Spec.Tasks < protocol.MaxTasks {
+		t.attempts++
+		out = append(out, protocol.Command{Verb: protocol.Start, Task: protocol.TaskName(starts.Spec.ID, starts.Spec.Tasks), Attempt: t.number<<32 | t.attempts})
+	}
+	if len(out) == 0 {
 		return "", nil
 	}
-	return m.Endpoint, protocol.Encode(protocol.DirectCommands{Term: t.number, Session: m.Session, Commands: stops})
+	return m.Endpoint, protocol.Encode(protocol.DirectCommands{Term: t.number, Session: m.Session, Commands: out})
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -309,10 +309,11 @@
 // upIn is when a task with an image of that size would run on the machine, in
 // half seconds, image fetch included.
 func (m *MachineView) upIn(image units.Amount) int64 {
+	wait := min(int64(m.Reports), 1) // it is woken
 	if m.FetchRate <= 0 {
-		return int64(m.Reports)
+		return wait
 	}
-	return int64(m.Reports) + int64(2*image/m.FetchRate)
+	return wait + int64(2*image/m.FetchRate)
 }
 
 // hold keeps the room of some machines together for a job, or small tasks would
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -238,11 +238,14 @@
 		if !j.MayStartOn(m.ID) {
 			kick(t.kickSave)
 		}
+		if j.Service() {
+			t.hurry(m, j, now)
+		}
 	}
 	for _, p := range wanted.Stops {
 		a := refs.victims[p.Victim]
 		t.ledger.Stop(a, a.Job.Spec.Save+2*units.Second)
-		t.stopSoon(a.Machine, now)
+		t.hurry(a.Machine, nil, now)
 		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID,
 			"class", a.Job.Spec.Class, "for", refs.jobs[p.For].Spec.ID, "for_class", refs.jobs[p.For].Spec.Class)
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -59,13 +59,13 @@
 	unreached   int          // the most controllers out of reach at a time in this term
 	judgeFrom   units.Micros // this node was late itself: until then no machine's silence is judged
 	tombs       map[string]units.Micros
-	stops       map[string]bool // machines with tasks to be stopped at once
+	hurried     map[string]*hurried // machines that are told something before their next report
 	saving      int
 	rent        renting
 
-	kickSave  chan struct{}
-	kickRound chan struct{}
-	kickStops chan struct{}
+	kickSave   chan struct{}
+	kickRound  chan struct{}
+	kickDirect chan struct{}
 }
 
 type earlyReport struct {
@@ -82,9 +82,9 @@
 	deps.Log = deps.Log.With("term", number)
 	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
 		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State), heads: make([]uint64, bookkeeping.Buckets),
-		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{}, stops: map[string]bool{},
+		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{}, hurried: map[string]*hurried{},
 		rent: newRenting(), held: map[*bookkeeping.Machine]*bookkeeping.Job{},
-		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1), kickStops: make(chan struct{}, 1)}
+		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1), kickDirect: make(chan struct{}, 1)}
 }
 
 func kick(c chan struct{}) {
@@ -113,7 +113,7 @@
 		}
 	}
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop, t.lagLoop, t.announceLoop, t.inboxLoop, t.stopLoop} {
+	for _, loop := range []func(context.Context){t.saveLoop, t.roundLoop, t.cloudLoop, t.lagLoop, t.announceLoop, t.inboxLoop, t.directLoop} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
