--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -15,13 +15,16 @@
 	"dunestand/internal/bookkeeping"
 	"dunestand/internal/config"
 	"dunestand/internal/protocol"
+	"dunestand/internal/standin"
 	"dunestand/internal/units"
 )
 
 // This file plays random days against the leader's core: workers as the
 // protocol describes them, a state service, leaders that die at any point,
-// answers that are lost or late. After every step it checks on the workers
-// themselves, not on the leader's books, what must never happen.
+// answers that are lost or late. Controllers of the version before are upgraded
+// one by one meanwhile, and the state service lowers its limits once all are.
+// After every step it checks on the workers themselves, not on the leader's
+// books, what must never happen.
 
 type manualClock struct{ now units.Micros }
 
@@ -39,7 +42,7 @@
 	return &config.Settings{Node: "n", Fleet: config.Fleet{Zones: []string{"a"},
 		Teams:     []config.Team{{Name: "team", CPUs: 4, CPUsMax: modelLimit}},
 		Workers:   config.Workers{ReportS: 1, LeaseS: modelLease.Seconds(), CancelS: 30},
-		State:     config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		State:     config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}},
 		Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 100}}}
 }
 
@@ -58,6 +61,17 @@
 type modelStore struct {
 	items    map[string]protocol.Item
 	revision uint64
+	limits   config.State
+}
+
+// takes tells whether a transaction is within the limits.
+func (s *modelStore) takes(txn protocol.Txn) bool {
+	for _, c := range txn.Then {
+		if len(c.Value)*5/4 > s.limits.ValueBytes() { // as JSON it is a little larger
+			return false
+		}
+	}
+	return len(txn.Then) <= s.limits.TxnOps && len(txn.If) <= 4*s.limits.TxnOps
 }
 
 // commit gives the keys that were not as expected, none if it was carried out.
@@ -71,7 +85,7 @@
 	if len(failed) > 0 {
 		return 0, failed
 	}
-	if len(txn.Then) > 12 || len(txn.If) > 48 {
+	if !s.takes(txn) {
 		t.Fatalf("transaction of %d changes, %d conditions", len(txn.Then), len(txn.If))
 	}
 	s.revision++
@@ -130,14 +144,98 @@
 	completed map[taskKey]bool
 	finals    map[string]protocol.Stage
 	told      []told
+	leadsNew  bool // the leader is of the new version
+	saveNew   bool // the save on its way was built in the new form
 	specs     []protocol.JobSpec
 	arrivals  []protocol.Txn // jobs on their way to the inbox
-	calm      bool           // all troubles are over
+	nodes     []modelNode
+	services  map[string]bool
+	calm      bool // all troubles are over
+}
+
+// modelNode is a controller.
+type modelNode struct {
+	upgraded bool
+	told     bool // it has said, durably, that it reads the new form
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
+// put writes a key of the state service.
+func (m *model) put(key string, value any) {
+	m.store.revision++
+	m.store.items[key] = protocol.Item{Key: key, Value: protocol.Encode(value), Version: m.store.revision}
+}
+
+// formats gives what the controllers have said, and the fleet's format.
+func (m *model) formats() map[string]stored {
+	known := map[string]stored{}
+	for key, item := range m.store.items {
+		var r bookkeeping.FormatRecord
+		if strings.HasPrefix(key, bookkeeping.PrefixFormats) && protocol.Decode(item.Value, &r) == nil {
+			known[key] = stored{r.Format, item.Version}
+		}
+	}
+	return known
+}
+
+// upgrade starts a controller with the new version, which says so a while later;
+// if it leads, its term ends.
+func (m *model) upgrade() {
+	// The first one mostly gets its turn late, long after the others.
+	i := rapid.SampledFrom([]int{0, 1, 1, 1, 1, 1, 2, 2, 2, 2, 2}).Draw(m.t, "controller")
+	switch n := &m.nodes[i]; {
+	case !n.upgraded:
+		n.upgraded = true
+		if rapid.IntRange(0, 2).Draw(m.t, "it led") == 0 {
+			m.crash()
+		}
+	case !n.told:
+		n.told = true
+		m.put(bookkeeping.KeyFormat(nodeName(i)), bookkeeping.FormatRecord{Format: bookkeeping.Format})
+	}
+}
+
+// raise has a leader of the new version do what it can about the fleet's format.
+// It may die, or hear of it only later.
+func (m *model) raise() {
+	known := m.formats()
+	level := known[bookkeeping.KeyFleetFormat].format
+	if !m.leadsNew {
+		return
+	}
+	var names []string
+	for i := range m.nodes {
+		names = append(names, nodeName(i))
+	}
+	if all := readByAll(names, known); all > max(level, bookkeeping.FormatOld) {
+		level = all
+		m.put(bookkeeping.KeyFleetFormat, bookkeeping.FormatRecord{Format: level})
+	}
+	if m.calm || rapid.Bool().Draw(m.t, "the leader hears of it") {
+		m.learn(level)
+	}
+}
+
+func (m *model) learn(level int) {
+	if level > m.leader.Format.Level() {
+		m.leader.Format.level.Store(int64(level))
+	}
+	m.leader.ledger.Raise(m.leader.Format.Level(), m.clock.now)
+}
+
+// fall lowers the limits of the state service, some time after the upgrade.
+func (m *model) fall() {
+	if m.formats()[bookkeeping.KeyFleetFormat].format >= bookkeeping.FormatNew {
+		m.store.limits = m.store.limits.Both()
+	}
 }
 
+// begin makes any of the controllers the leader.
 func (m *model) begin() {
 	m.terms++
 	m.leader = testTerm(m.terms, m.clock)
+	m.leadsNew = rapid.SampledFrom(m.nodes).Draw(m.t, "leader").upgraded
 	// The claim changes every bucket's head, so older saves fail from now on.
 	for b := range bookkeeping.Buckets {
 		m.store.revision++
@@ -151,10 +249,25 @@
 			rows = append(rows, m.store.items[key])
 		}
 	}
-	jobs, _, err := bookkeeping.ParseJobs(rows)
+	if !m.leadsNew {
+		if _, err := standin.ReadAsBefore(rows); err != nil {
+			m.t.Fatalf("a leader of the version before cannot restore: %v", err)
+		}
+	}
+	jobs, orphans, err := bookkeeping.ParseJobs(rows)
 	if err != nil {
 		m.t.Fatalf("restore: %v", err)
 	}
+	for id, keys := range orphans {
+		if m.store.items[bookkeeping.KeyFinal(id)].Version == 0 {
+			m.t.Fatalf("%s is not over, and has no record of its own", id)
+		}
+		m.leader.ledger.Leave(id, keys)
+	}
+	if m.leadsNew {
+		// It reads the fleet's format before the records.
+		m.leader.Format.level.Store(int64(max(m.formats()[bookkeeping.KeyFleetFormat].format, bookkeeping.FormatOld)))
+	}
 	m.leader.install(jobs, modelCatalog)
 }
 
@@ -171,6 +284,11 @@
 	spec := protocol.JobSpec{ID: id, Class: "c", Team: "team", Tasks: rapid.IntRange(1, 6).Draw(m.t, "tasks"),
 		Need:     cpus(rapid.IntRange(1, 3).Draw(m.t, "cpus")),
 		Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(m.t, "priority")), Spot: true, Image: "i", Estimate: 10 * units.Second}
+	// One service at most: with two, a larger task might find no machine left.
+	if len(m.services) == 0 && m.leader.Format.Level() >= bookkeeping.FormatNew && rapid.IntRange(0, 2).Draw(m.t, "a service") == 0 {
+		spec.Shape, spec.Tasks, spec.Need, spec.Priority, spec.Estimate = protocol.Service, min(spec.Tasks, 2), cpus(1), protocol.Production, 0
+		m.services[id] = true
+	}
 	m.jobs[id] = spec.Tasks
 	m.specs = append(m.specs, spec)
 	return spec
@@ -346,13 +464,13 @@
 func (m *model) workOn(w *modelWorker) {
 	for _, k := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index }) {
 		task := w.tasks[k]
-		if task.stage != protocol.TaskRunning {
+		if task.stage != protocol.TaskRunning || m.calm && m.services[k.job] {
 			continue
 		}
 		task.stage = protocol.TaskExited
 		if task.cause = protocol.CauseError; m.calm || rapid.IntRange(0, 7).Draw(m.t, "fails") > 0 {
 			task.cause = protocol.CauseDone
-			m.completed[k] = true
+			m.completed[k] = !m.services[k.job]
 		}
 		w.tasks[k] = task
 		return
@@ -380,9 +498,21 @@
 func (m *model) write() {
 	l := m.leader.ledger
 	if m.save == nil {
+		m.saveNew = m.leader.Format.Level() >= bookkeeping.FormatNew
+		l.Raise(m.leader.Format.Level(), m.clock.now)
 		m.save = l.BuildSave(m.leader.saveID(), m.leader.heads, bookkeeping.SaveLimits{Lazy: units.Second, Tasks: true}, m.clock.now)
 		return
 	}
+	if !m.store.takes(m.save.Txn) {
+		// Only what was built before the leader heard that all are upgraded.
+		l.Tighten()
+		if m.saveNew {
+			m.t.Fatalf("a save in the new form is over the limits: %d changes", len(m.save.Txn.Then))
+		}
+		l.Rejected(m.save, m.clock.now)
+		m.save = nil
+		return
+	}
 	rev, failed := m.store.commit(m.t, m.save.Txn)
 	if len(failed) > 0 {
 		l.Refused(m.save, m.clock.now)
@@ -405,6 +535,9 @@
 
 func (m *model) over(id string, f bookkeeping.Final) {
 	m.finals[id] = f.Stage
+	if m.services[id] && f.Stage != protocol.StageCancelled {
+		m.t.Fatalf("the service %s is called %s", id, f.Stage)
+	}
 	if f.Stage != protocol.StageDone {
 		return
 	}
@@ -419,7 +552,7 @@
 // leader claims the buckets; later it must fail.
 func (m *model) crash() {
 	if m.save != nil {
-		if rapid.Bool().Draw(m.t, "save carried out") {
+		if m.store.takes(m.save.Txn) && rapid.Bool().Draw(m.t, "save carried out") {
 			if _, failed := m.store.commit(m.t, m.save.Txn); len(failed) == 0 {
 				for _, c := range m.save.Txn.Then {
 					if id, final := bookkeeping.JobOfFinal(c.Set); final {
@@ -437,6 +570,9 @@
 	}
 	m.begin()
 	for _, s := range m.orphans {
+		if !m.store.takes(s.Txn) {
+			continue
+		}
 		if _, failed := m.store.commit(m.t, s.Txn); len(failed) == 0 {
 			m.t.Fatalf("a former leader's save was carried out after the claim")
 		}
@@ -525,6 +661,23 @@
 	m.told = nil
 }
 
+// finishUpgrade upgrades the controllers that are left, if the day is one of
+// those on which that happens, and has the limits fall.
+func (m *model) finishUpgrade() {
+	if rapid.IntRange(0, 3).Draw(m.t, "the upgrade ends") == 0 {
+		return
+	}
+	for i := range m.nodes {
+		m.nodes[i].upgraded, m.nodes[i].told = true, true
+		m.put(bookkeeping.KeyFormat(nodeName(i)), bookkeeping.FormatRecord{Format: bookkeeping.Format})
+	}
+	if !m.leadsNew {
+		m.crash()
+	}
+	m.raise()
+	m.fall()
+}
+
 // deafen cuts a worker off from answers, or ends that.
 func (m *model) deafen() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
@@ -538,6 +691,7 @@
 	for _, w := range m.workers {
 		w.deaf = false
 	}
+	m.finishUpgrade()
 	m.land()
 	accepted := map[string]bool{}
 	for _, item := range m.inbox() {
@@ -576,6 +730,12 @@
 		m.t.Fatalf("%d jobs are in the inbox long after all troubles", len(left))
 	}
 	for id, open := range accepted {
+		if open && m.services[id] {
+			if up := m.running(id); up != m.jobs[id] {
+				m.t.Fatalf("%d of %d replicas of %s run long after all troubles", up, m.jobs[id], id)
+			}
+			continue
+		}
 		if open && m.finals[id] != protocol.StageDone {
 			j := m.leader.ledger.Jobs[id]
 			m.t.Fatalf("%s is not done long after all troubles: final %q, known %v", id, m.finals[id], j != nil)
@@ -583,6 +743,19 @@
 	}
 }
 
+// running counts the tasks of a job that run on workers.
+func (m *model) running(job string) int {
+	n := 0
+	for _, w := range m.workers {
+		for k, task := range w.tasks {
+			if k.job == job && w.alive && task.stage == protocol.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (m *model) need(job string) int {
 	if j := m.leader.ledger.Jobs[job]; j != nil {
 		return int(j.Spec.Need.CPU / 1_000_000)
@@ -592,16 +765,23 @@
 
 func TestRandomDaysKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, clock: &manualClock{now: units.Second}, store: &modelStore{items: map[string]protocol.Item{}},
-			jobs: map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
+		m := &model{t: t, clock: &manualClock{now: units.Second}, nodes: make([]modelNode, 3), services: map[string]bool{},
+			store: &modelStore{items: map[string]protocol.Item{}, limits: config.State{ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}}},
+			jobs:  map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
 		// Some days begin with far more machines than the team can use.
 		for range rapid.SampledFrom([]int{2, 2, 2, 2, 16}).Draw(t, "machines") {
 			m.workers = append(m.workers, m.newWorker())
 		}
+		if rapid.Bool().Draw(t, "upgraded before") {
+			for i := range m.nodes {
+				m.nodes[i] = modelNode{true, true}
+				m.put(bookkeeping.KeyFormat(nodeName(i)), bookkeeping.FormatRecord{Format: bookkeeping.Format})
+			}
+		}
 		m.begin()
 		actions := []func(){m.submit, m.report, m.report, m.report, m.deliver, m.deliver, m.deliver, m.work, m.work,
-			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen, m.announce, m.hearTold, m.arrive, m.land, m.collect}
-		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22}
+			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall}
+		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22, 23, 23, 23, 23, 23, 23, 24, 24, 24, 25}
 		for range rapid.IntRange(50, 250).Draw(t, "steps") {
 			actions[rapid.SampledFrom(weights).Draw(t, "action")]()
 			m.check()
