--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -157,6 +157,9 @@
 			continue
 		}
 		part, all := l.part(j, id)
+		if l.tooLarge(j, all) {
+			continue // until it may be divided
+		}
 		if len(all) == 0 {
 			j.settled()
 			continue
@@ -197,6 +200,21 @@
 	return s
 }
 
+// tooLarge tells whether a job has a record in the old form that the state
+// service does not take any more, while it must not be divided yet.
+func (l *Ledger) tooLarge(j *Job, all []write) bool {
+	if !l.tight || !l.oldLeaders() {
+		return false
+	}
+	return slices.ContainsFunc(all, func(w write) bool {
+		size := len(w.change.Value)
+		if w.cell == j.main {
+			size = jsonSize(j.record(longestSave, w.machines))
+		}
+		return size > l.state.Both().ValueBytes()
+	})
+}
+
 // cut gives how many of a job's writes go into a transaction, and their size.
 // What must go together does, even where nothing else is in the transaction and
 // it is over its limit: the state service then tells.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -5,9 +5,13 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"dunestand/internal/protocol"
 )
@@ -26,6 +30,49 @@
 	// Late holds a commit back, unanswered, until Flush carries it out.
 	Late func(commit int) bool
 	held []protocol.Txn
+
+	limits   *stateLimits
+	rejected int
+}
+
+// stateLimits is what the service takes.
+type stateLimits struct {
+	valueBytes, ops int
+	writes          *rate.Limiter
+}
+
+// Limit has the service take values of so many bytes, so many changes in a
+// transaction and so many a second from now on. What is stored stays readable.
+func (s *State) Limit(valueBytes, ops int, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = &stateLimits{valueBytes, ops, rate.NewLimiter(rate.Limit(writes), int(writes))}
+}
+
+// Rejected counts the transactions that were beyond the limits.
+func (s *State) Rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
+// refused gives the status of a transaction that is beyond the limits, 0 if it
+// is not.
+func (s *State) refused(txn protocol.Txn) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limits == nil {
+		return 0
+	}
+	large := slices.ContainsFunc(txn.Then, func(c protocol.Change) bool { return len(c.Value) > s.limits.valueBytes })
+	switch {
+	case large, len(txn.Then) > s.limits.ops, len(txn.If) > 4*s.limits.ops:
+		s.rejected++
+		return http.StatusBadRequest
+	case !s.limits.writes.AllowN(time.Now(), len(txn.Then)):
+		return http.StatusTooManyRequests
+	}
+	return 0
 }
 
 // NewState makes an empty state service.
@@ -110,6 +157,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if status := s.refused(txn); status != 0 {
+			w.WriteHeader(status)
+			return
+		}
 		s.mu.Lock()
 		s.commits++
 		n := s.commits
