Keep room for two replicas in each zone, little next to the fleet

In each zone room for two replicas is now kept from all else, 3% of the fleet at most, where it is free or comes soonest.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -37,6 +37,7 @@
 	Held       bool // its room is kept for a job that goes before the rest
 	Size, Free units.Resources
 	Freeing    units.Resources // held by tasks that were told to stop
+	Kept       units.Resources // part of the free room, for replicas of services alone
 	FetchRate  units.Amount    // GB a second
 	Images     func(name string) bool
 	// Victims lists the tasks that could be stopped; nil if none may be. It is
@@ -208,6 +209,14 @@
 	return t.Limit.Plus(t.Used, -1).Fits(j.Spec.Need)
 }
 
+// freeFor is a machine's room for a job.
+func (m *MachineView) freeFor(j *JobView) units.Resources {
+	if j.Spec.Shape == protocol.Service {
+		return m.Free
+	}
+	return m.Free.Plus(m.Kept, -1)
+}
+
 // zoneRoom is how many more tasks of the job may be in a zone, and whether
 // the zone is allowed at all.
 func zoneRoom(j *JobView, zone string) int {
@@ -255,7 +264,7 @@
 		}
 		for _, c := range p.findCompanions(j) {
 			m := &p.s.Machines[c.machine]
-			n := min(j.Pending, p.batch, p.headroom(j), m.Free.Fits(j.Spec.Need), zoneRoom(j, m.Zone))
+			n := min(j.Pending, p.batch, p.headroom(j), m.freeFor(j).Fits(j.Spec.Need), zoneRoom(j, m.Zone))
 			if n <= 0 {
 				continue
 			}
@@ -275,7 +284,7 @@
 	p.companions = p.companions[:0]
 	for k := range p.s.Machines {
 		m := &p.s.Machines[k]
-		if m.Held || m.Free.Fits(j.Spec.Need) == 0 || !p.usable(k, j) {
+		if m.Held || m.freeFor(j).Fits(j.Spec.Need) == 0 || !p.usable(k, j) {
 			continue
 		}
 		c := companion{machine: k, key: [7]int64{5: int64(m.Free.CPU), 6: -int64(m.Reports)}}
@@ -326,7 +335,7 @@
 	var fit []int
 	for k := range p.s.Machines {
 		m := &p.s.Machines[k]
-		if !m.Held && m.Size.Fits(j.Spec.Need) > 0 && m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need) == 0 && p.usable(k, j) {
+		if !m.Held && m.Size.Fits(j.Spec.Need) > 0 && m.freeFor(j).Plus(m.Freeing, 1).Fits(j.Spec.Need) == 0 && p.usable(k, j) {
 			fit = append(fit, k)
 		}
 	}
@@ -392,7 +401,7 @@
 			return
 		}
 		m := &p.s.Machines[k]
-		coming := min(m.Free.Plus(m.Freeing, 1).Fits(j.Spec.Need), want)
+		coming := min(m.freeFor(j).Plus(m.Freeing, 1).Fits(j.Spec.Need), want)
 		if coming > 0 && p.usable(k, j) {
 			p.reserve(m, j.Spec.Need, coming)
 			want -= coming
@@ -505,7 +514,7 @@
 func (p *planner) preemptOn(k, i int, j *JobView, want int) int {
 	m := &p.s.Machines[k]
 	made := 0
-	room := m.Free.Plus(m.Freeing, 1)
+	room := m.freeFor(j).Plus(m.Freeing, 1)
 	var chosen []Victim
 	for _, v := range p.victimsOn(k) {
 		if made >= want {
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -175,6 +175,7 @@
 	s := Snapshot{Batch: batchMost, Partial: true}
 	teams := t.teamViews(&s)
 	s.Machines = []MachineView{t.machineView(m, now, true)}
+	s.Machines[0].Kept = t.kept[m]
 	// A few jobs at a time: the first ones mostly take all the room.
 	queue := t.queue
 	if held := t.held[m]; held != nil && t.placeable(held, now) {
@@ -430,6 +431,7 @@
 		s.Machines = append(s.Machines, view)
 		refs.machines = append(refs.machines, m)
 	}
+	t.keep(&s, refs.machines)
 	s.Batch = min(batchBase+waiting/8, batchMost)
 	return s, refs
 }
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -308,3 +308,43 @@
 		t.Error("a machine is woken with a task beyond the last number")
 	}
 }
+
+// Room for replicas is kept in each zone that may be used, little next to the
+// fleet, on the machines that were chosen before where it still has to come, and
+// nothing but replicas is planned there.
+func TestRoomIsKeptForReplicas(t *testing.T) {
+	like := modelSpec("j-000001")
+	like.Spot, like.Need = false, cpus(2)
+	var machines []MachineView
+	for i := range 40 {
+		m := MachineView{ID: fmt.Sprintf("i-%06d", i), Type: "m", Zone: []string{"a", "b"}[i%2], Spot: i >= 20, Accepts: true,
+			Size: cpus(8), Free: cpus(1), Images: func(string) bool { return i == 7 }}
+		if i == 4 || i == 9 {
+			m.Free = cpus(2)
+		}
+		machines = append(machines, m)
+	}
+	got := keepRoom(machines, like, func(k int) bool { return k == 11 })
+	if fmt.Sprint(got) != "[4 0 9 11]" {
+		t.Errorf("kept on %v", got)
+	}
+	if got := keepRoom(machines[:6], like, func(int) bool { return false }); len(got) != 0 {
+		t.Errorf("kept on %v of a small fleet", got)
+	}
+	if got := keepRoom(machines, nil, func(int) bool { return true }); len(got) != 0 {
+		t.Errorf("kept on %v without a service", got)
+	}
+	machines[4].Kept = like.Need
+	array, service := modelSpec("j-000002"), *like
+	array.Need, service.Shape = cpus(2), protocol.Service
+	for _, c := range []struct {
+		spec *protocol.JobSpec
+		want int
+	}{{array, 0}, {&service, 1}} {
+		s := Snapshot{Teams: []TeamView{{Limit: cpus(100)}}, Machines: []MachineView{machines[4]}, Batch: 10,
+			Jobs: []JobView{{Spec: c.spec, Pending: 1, LiveIn: map[string]int{}, LiveOn: map[int]int{}, Avoid: func(string) bool { return false }}}}
+		if got := len(Plan(&s).Starts); got != c.want {
+			t.Errorf("%d starts of a job of shape %d", got, c.spec.Shape)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/spare.go
@@ -0,0 +1,90 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// A replica that is lost with its machine, or that is new, is to be up within
+// seconds. In a full fleet room for it would first have to be made, by stopping
+// something. So where there are urgent services, some room is kept free for
+// replicas in each zone: little next to the fleet.
+
+const (
+	spareReplicas = 2  // in each zone
+	spareShare    = 32 // of the fleet at most
+)
+
+// keepRoom chooses the machines on which room for one more replica like a given
+// one is kept from everything else: in each zone those that have it already, else
+// those where it comes soonest, among them the ones that were chosen before.
+func keepRoom(machines []MachineView, like *protocol.JobSpec, before func(k int) bool) []int {
+	if like == nil {
+		return nil
+	}
+	byZone := map[string][]int{}
+	var fleet units.Amount
+	for k := range machines {
+		m := &machines[k]
+		if !m.Accepts {
+			continue
+		}
+		fleet += m.Size.CPU
+		if !m.Slow && m.Size.Fits(like.Need) > 0 && allowed(like, m.Type, m.Zone, m.Spot) {
+			byZone[m.Zone] = append(byZone[m.Zone], k)
+		}
+	}
+	each := spareReplicas
+	if all := like.Need.CPU * spareShare * units.Amount(len(byZone)); all > 0 {
+		each = int(min(units.Amount(each), fleet/all))
+	}
+	number := func(b bool) int {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	var out []int
+	for _, zone := range sortedKeys(byZone) {
+		list := byZone[zone]
+		slices.SortStableFunc(list, func(a, b int) int {
+			x, y := &machines[a], &machines[b]
+			return cmp.Or(
+				-cmp.Compare(number(x.Free.Fits(like.Need) > 0), number(y.Free.Fits(like.Need) > 0)),
+				-cmp.Compare(number(before(a)), number(before(b))),
+				-cmp.Compare(number(x.Images(like.Image)), number(y.Images(like.Image))),
+				-cmp.Compare(x.Size.CPU, y.Size.CPU))
+		})
+		out = append(out, list[:min(each, len(list))]...)
+	}
+	return out
+}
+
+// spareLike gives the urgent service whose replicas take most, nil if there is
+// none.
+func (t *Term) spareLike() *protocol.JobSpec {
+	var like *protocol.JobSpec
+	for _, j := range t.ledger.Jobs {
+		s := &j.Spec
+		if j.Service() && !j.Cancelled && s.Priority >= protocol.High && (like == nil ||
+			cmp.Or(cmp.Compare(s.Need.CPU, like.Need.CPU), cmp.Compare(s.Need.Memory, like.Need.Memory), -cmp.Compare(s.ID, like.ID)) > 0) {
+			like = s
+		}
+	}
+	return like
+}
+
+// keep notes on the machines of a snapshot what room is kept on them.
+func (t *Term) keep(s *Snapshot, machines []*bookkeeping.Machine) {
+	like := t.spareLike()
+	kept := keepRoom(s.Machines, like, func(k int) bool { return t.kept[machines[k]] != units.Resources{} })
+	clear(t.kept)
+	for _, k := range kept {
+		s.Machines[k].Kept = like.Need
+		t.kept[machines[k]] = like.Need
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -59,7 +59,8 @@
 	unreached   int          // the most controllers out of reach at a time in this term
 	judgeFrom   units.Micros // this node was late itself: until then no machine's silence is judged
 	tombs       map[string]units.Micros
-	hurried     map[string]*hurried // machines that are told something before their next report
+	kept        map[*bookkeeping.Machine]units.Resources // room that the last round kept for replicas
+	hurried     map[string]*hurried                      // machines that are told something before their next report
 	saving      int
 	rent        renting
 
@@ -82,7 +83,7 @@
 	deps.Log = deps.Log.With("term", number)
 	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
 		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State), heads: make([]uint64, bookkeeping.Buckets),
-		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{}, hurried: map[string]*hurried{},
+		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{}, hurried: map[string]*hurried{}, kept: map[*bookkeeping.Machine]units.Resources{},
 		rent: newRenting(), held: map[*bookkeeping.Machine]*bookkeeping.Job{},
 		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1), kickDirect: make(chan struct{}, 1)}
 }
