--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -363,17 +363,37 @@
 		}
 		return a.ID < b.ID
 	})
-	n := 0
-	for _, m := range out {
-		if have-m.Size.CPU >= keep {
-			have -= m.Size.CPU
-			out[n] = m
-			n++
+	// What is left must be of the right kinds: services may not be allowed on
+	// those that are cheapest.
+	view := t.fleetView(in)
+	view.Reserve, view.Refused = 0, func(Kind) bool { return false }
+	lacking := func() int {
+		count := 0
+		for _, o := range WantRented(&view) {
+			count += o.Count
+		}
+		return count
+	}
+	n, lacks := 0, lacking()
+	for _, m := range out[:min(len(out), idleAtATime)] {
+		if have-m.Size.CPU < keep {
+			continue
+		}
+		kind := Kind{m.Type, m.Zone, m.Spot}
+		if view.Have[kind]--; lacking() > lacks {
+			view.Have[kind]++
+			continue
 		}
+		have -= m.Size.CPU
+		out[n] = m
+		n++
 	}
 	return out[:n]
 }
 
+// idleAtATime bounds the machines that are looked at in one go.
+const idleAtATime = 50
+
 func (t *Term) price(m *bookkeeping.Machine) float64 {
 	typ := t.ledger.Types[m.Type]
 	if m.Spot {
@@ -384,8 +404,11 @@
 
 func (t *Term) fleetInput() config.FleetInput {
 	in := config.FleetInput{Hour: int(t.Clock.Wall() / units.Second / 3600 % 24)}
-	if len(t.ledger.Jobs) > 0 {
-		t.lastWork = t.Clock.Steady()
+	for _, j := range t.ledger.Jobs {
+		if !j.Service() {
+			t.lastWork = t.Clock.Steady()
+			break
+		}
 	}
 	in.QuietS = (t.Clock.Steady() - t.lastWork).Seconds()
 	for _, team := range t.ledger.Teams {
@@ -404,7 +427,7 @@
 }
 
 // needs lists the tasks that are not done, as far as their teams' limits let
-// them run.
+// them run, and the replicas that room is kept for.
 func (t *Term) needs() []Need {
 	left := map[string]units.Resources{}
 	for name, team := range t.ledger.Teams {
@@ -421,6 +444,9 @@
 			out = append(out, Need{&j.Spec, n})
 		}
 	}
+	if like := t.spareLike(); like != nil {
+		out = append(out, Need{like, t.spareCount(like)})
+	}
 	return out
 }
 
@@ -495,16 +521,11 @@
 	return true
 }
 
-// orders turns what is wanted into requests with names never used before: the
-// term is in them, and no two terms are alike.
-func (t *Term) orders(now units.Micros) []protocol.Rent {
-	if len(t.ledger.Types) == 0 || t.rent.listAt == 0 {
-		return nil // what there is, is not known yet
-	}
-	in := t.fleetInput()
+// fleetView is what the renting decision looks at.
+func (t *Term) fleetView(in config.FleetInput) FleetView {
 	v := FleetView{Types: t.ledger.Types, Have: map[Kind]int{}, Needs: t.needs(),
-		Reserve: t.Policy.ReserveCPUs(in), SpotPreference: t.Policy.SpotPreference(in),
-		Refused: func(k Kind) bool { return now < t.rent.refused[k].until }}
+		Reserve: t.Policy.ReserveCPUs(in), SpotPreference: t.Policy.SpotPreference(in)}
+	now := t.Clock.Steady()
 	for _, m := range t.ledger.Machines {
 		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
 		if m.Releasing || m.SetAside || m.NoticeEnds > 0 || !m.Seen && now-m.Rented > bootPatience*boot+10*units.Second {
@@ -512,6 +533,17 @@
 		}
 		v.Have[Kind{m.Type, m.Zone, m.Spot}]++
 	}
+	return v
+}
+
+// orders turns what is wanted into requests with names never used before: the
+// term is in them, and no two terms are alike.
+func (t *Term) orders(now units.Micros) []protocol.Rent {
+	if len(t.ledger.Types) == 0 || t.rent.listAt == 0 {
+		return nil // what there is, is not known yet
+	}
+	v := t.fleetView(t.fleetInput())
+	v.Refused = func(k Kind) bool { return now < t.rent.refused[k].until }
 	var out []protocol.Rent
 	for _, o := range WantRented(&v) {
 		t.hires++
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -73,7 +73,7 @@
 	if _, err := fmt.Sscanf(c.Task, "%8s/%d", &job, &index); err != nil {
 		f.t.Fatal(err)
 	}
-	if on, _ := f.where(index); on != "" {
+	if on, _ := f.where(job, index); on != "" {
 		f.t.Fatalf("%s starts on %s while it is on %s", c.Task, r.Machine, on)
 	}
 	f.started++
@@ -81,10 +81,10 @@
 }
 
 // where tells on which machine a replica runs.
-func (f *serviceFleet) where(index int) (machine string, task *protocol.TaskReport) {
+func (f *serviceFleet) where(job string, index int) (machine string, task *protocol.TaskReport) {
 	for id, r := range f.machines {
 		for i := range r.Tasks {
-			if r.Tasks[i].Index == index && r.Tasks[i].Stage != protocol.TaskExited {
+			if r.Tasks[i].Job == job && r.Tasks[i].Index == index && r.Tasks[i].Stage != protocol.TaskExited {
 				return id, &r.Tasks[i]
 			}
 		}
@@ -95,7 +95,7 @@
 func (f *serviceFleet) running() int {
 	n := 0
 	for i := range f.term.ledger.Jobs["j-000001"].Spec.Tasks {
-		if on, _ := f.where(i); on != "" {
+		if on, _ := f.where("j-000001", i); on != "" {
 			n++
 		}
 	}
@@ -116,7 +116,7 @@
 
 // end has a replica end by itself.
 func (f *serviceFleet) end(index int, cause protocol.Cause) {
-	_, task := f.where(index)
+	_, task := f.where("j-000001", index)
 	task.Stage, task.Cause = protocol.TaskExited, cause
 }
 
@@ -132,7 +132,7 @@
 	for range 30 {
 		f.report()
 	}
-	on, _ := f.where(2)
+	on, _ := f.where("j-000001", 2)
 	late := *f.machines[on]
 	late.Tasks = append([]protocol.TaskReport{}, late.Tasks...)
 	for i, cause := range []protocol.Cause{protocol.CauseDone, protocol.CauseError, protocol.CauseDone, protocol.CauseDone} {
@@ -160,7 +160,7 @@
 	term, _, f := serviceTerm(t, 1, false)
 	for range 120 {
 		f.report()
-		if on, _ := f.where(0); on != "" {
+		if on, _ := f.where("j-000001", 0); on != "" {
 			f.end(0, protocol.CauseDone)
 		}
 	}
@@ -173,7 +173,7 @@
 	before := f.started
 	f.end(0, protocol.CauseError)
 	f.report()
-	if on, _ := f.where(0); on == "" || f.started != before+1 {
+	if on, _ := f.where("j-000001", 0); on == "" || f.started != before+1 {
 		t.Errorf("it is not started at once after a long run: retry in %d ms", (term.ledger.Jobs["j-000001"].RetryAt-f.clock.now)/units.Millisecond)
 	}
 }
@@ -185,14 +185,14 @@
 func TestReplicasLeaveMachines(t *testing.T) {
 	term, clock, f := serviceTerm(t, 2, true)
 	f.report()
-	on, _ := f.where(0)
+	on, _ := f.where("j-000001", 0)
 	f.machines[on].Noticed, f.machines[on].Notice = true, 12*units.Second
 	f.report()
 	f.report()
-	if now, _ := f.where(0); now == on || now == "" || f.running() != 2 {
+	if now, _ := f.where("j-000001", 0); now == on || now == "" || f.running() != 2 {
 		t.Errorf("replica 0 is on %q, was on %s", now, on)
 	}
-	gone, _ := f.where(0)
+	gone, _ := f.where("j-000001", 0)
 	zone := f.machines[gone].Zone
 	lost := map[string]*protocol.Report{}
 	for id, r := range f.machines {
@@ -348,3 +348,32 @@
 		}
 	}
 }
+
+// Services never end, so they must not keep the reserve rented for ever: once
+// nothing else is left, the fleet shrinks to what they need and room for those
+// that may be lost.
+func TestServicesDoNotKeepTheReserve(t *testing.T) {
+	term, clock, f := serviceTerm(t, 2, false)
+	for i := range 30 {
+		r := beat(fmt.Sprintf("i-%06d", 100+i), 1, 0, 7)
+		f.machines[r.Machine] = r
+	}
+	term.ledger.Teams["team"].Guarantee, term.ledger.Teams["team"].Limit = cpus(100), cpus(200)
+	array := *modelSpec("j-000002")
+	term.ledger.NewJob(array, clock.now, clock.now)
+	for range 60 {
+		f.report()
+	}
+	if got := len(term.idle(clock.now)); got != 0 || term.fleetInput().QuietS != 0 {
+		t.Errorf("%d machines are returned while there is work", got)
+	}
+	term.ledger.Done(term.ledger.Jobs["j-000002"], 0, clock.now)
+	term.ledger.Done(term.ledger.Jobs["j-000002"], 1, clock.now)
+	for range 60 {
+		f.report()
+	}
+	// 34 machines of 4 processors; two replicas, and two spare ones in the zone.
+	if got := len(term.idle(clock.now)); got < 28 || got > 32 {
+		t.Errorf("%d machines are returned", got)
+	}
+}
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -17,6 +17,9 @@
 const (
 	spareReplicas = 2  // in each zone
 	spareShare    = 32 // of the fleet at most
+	// In the fleet as a whole room is rented for one replica more in so many that
+	// there are.
+	spareOfServices = 3
 )
 
 // keepRoom chooses the machines on which room for one more replica like a given
@@ -78,6 +81,23 @@
 	return like
 }
 
+// spareCount is how many replicas more than there are the fleet is to have room
+// for: enough in each zone for a new service, and for the loss of some machines
+// together, since renting others takes a boot.
+func (t *Term) spareCount(like *protocol.JobSpec) int {
+	var used units.Amount
+	for _, j := range t.ledger.Jobs {
+		if j.Service() && !j.Cancelled {
+			used += j.Spec.Need.CPU * units.Amount(j.Spec.Tasks)
+		}
+	}
+	n := spareReplicas * len(t.Settings.Fleet.Zones)
+	if like.Need.CPU > 0 {
+		n = max(n, int(used/like.Need.CPU/spareOfServices))
+	}
+	return n
+}
+
 // keep notes on the machines of a snapshot what room is kept on them.
 func (t *Term) keep(s *Snapshot, machines []*bookkeeping.Machine) {
 	like := t.spareLike()
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -50,7 +50,7 @@
 	hires       uint64
 	turnover    turnover
 	lastRound   units.Micros
-	lastWork    units.Micros                              // when there was an unfinished job
+	lastWork    units.Micros                              // when there was an unfinished job that ends by itself
 	roundCost   units.Micros                              // moving mean
 	queue       []queued                                  // waiting jobs as the last round saw them
 	held        map[*bookkeeping.Machine]*bookkeeping.Job // whose room the last round keeps together for whom
