--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -33,6 +33,7 @@
 
 	limits   *stateLimits
 	rejected int
+	asking   sync.Mutex
 }
 
 // stateLimits is what the service takes.
@@ -145,7 +146,7 @@
 
 // ServeHTTP implements the parts of the protocol that controllers use.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.Refuse != nil && s.Refuse(r.Method, r.URL.Path) {
+	if s.refuses(r) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -191,6 +192,13 @@
 	}
 }
 
+// refuses asks Refuse, for one request at a time.
+func (s *State) refuses(r *http.Request) bool {
+	s.asking.Lock()
+	defer s.asking.Unlock()
+	return s.Refuse != nil && s.Refuse(r.Method, r.URL.Path)
+}
+
 func status(ok bool, otherwise int) int {
 	if ok {
 		return http.StatusOK
