Save a job's own record with its pages in the old form, so that the save is known again

Found while reading: after a save without an answer that held pages alone, the leader took its own save for another's and gave its term up.

--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -179,7 +179,16 @@
 					l.Refused(b, 1)
 					continue
 				}
-				l.Applied(b, s.apply(t, b.Txn, limits))
+				revision := s.apply(t, b.Txn, limits)
+				if key := b.Probe(); key != "" { // a save without an answer is known by its id
+					var record struct {
+						Save string `cbor:"save"`
+					}
+					if err := protocol.Decode(s.items[key].Value, &record); err != nil || record.Save != b.ID {
+						t.Fatalf("%s has save %q of %q, %v", key, record.Save, b.ID, err)
+					}
+				}
+				l.Applied(b, revision)
 				check()
 			}
 		}
@@ -325,3 +334,18 @@
 		t.Fatal("may start after a refused save that took the name out")
 	}
 }
+
+// A page in the old form does not tell whose save it was, so the job's own record
+// goes with it: a save that was carried out and not answered must be known again,
+// or its leader takes it for another's.
+func TestOldPagesAreSavedWithTheirJob(t *testing.T) {
+	l := NewLedger(nil, config.State{ValueKB: 8, TxnOps: 12})
+	heads := make([]uint64, Buckets)
+	j := l.NewJob(protocol.JobSpec{ID: "j-000001", Tasks: 40_000}, 0, 0)
+	l.Applied(l.BuildSave("1-1", heads, SaveLimits{}, 0), 1)
+	l.Done(j, 20_000, 0)
+	s := l.BuildSave("1-2", heads, SaveLimits{Tasks: true}, 10)
+	if s.Probe() != KeyJob("j-000001") || len(s.Txn.Then) != 2 {
+		t.Errorf("known by %s, %d changes", s.Probe(), len(s.Txn.Then))
+	}
+}
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -270,6 +270,11 @@
 		j.turn(l.rooms)
 	}
 	j.main.dirty = j.main.dirty || j.Cancelled && !j.CancelStored
+	if j.format == FormatOld { // a page in the old form does not tell whose save it was
+		for _, c := range j.oldPages {
+			j.main.dirty = j.main.dirty || c.dirty
+		}
+	}
 	main := func() {
 		if !j.main.dirty {
 			return
