Accept a job without a leader after 0.2 s instead of 0.6 s

A leader that answers later meets the same job there, or the node meets the leader's: the conditions of both saves see to it.

--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -35,7 +35,7 @@
 	pingEvery   = units.Second
 	pingFirst   = 150 * units.Millisecond  // until a peer answers
 	forwardWait = 1700 * units.Millisecond // users wait 2 s for a poll
-	submitWait  = 600 * units.Millisecond  // then the node can still accept a job by itself
+	submitWait  = 200 * units.Millisecond  // then the node can still accept a job by itself
 	linkFresh   = 3 * units.Second
 )
 
