--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -211,7 +211,7 @@
 
 // freeFor is a machine's room for a job.
 func (m *MachineView) freeFor(j *JobView) units.Resources {
-	if j.Spec.Shape == protocol.Service {
+	if j.Spec.Shape == protocol.Service || j.Overdue {
 		return m.Free
 	}
 	return m.Free.Plus(m.Kept, -1)
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -324,25 +324,35 @@
 		}
 		machines = append(machines, m)
 	}
-	got := keepRoom(machines, like, func(k int) bool { return k == 11 })
+	got := keepRoom(machines, nil, like, func(k int) bool { return k == 11 })
 	if fmt.Sprint(got) != "[4 0 9 11]" {
 		t.Errorf("kept on %v", got)
 	}
-	if got := keepRoom(machines[:6], like, func(int) bool { return false }); len(got) != 0 {
+	if got := keepRoom(machines[:6], nil, like, func(int) bool { return false }); len(got) != 0 {
 		t.Errorf("kept on %v of a small fleet", got)
 	}
-	if got := keepRoom(machines, nil, func(int) bool { return true }); len(got) != 0 {
+	if got := keepRoom(machines, nil, nil, func(int) bool { return true }); len(got) != 0 {
 		t.Errorf("kept on %v without a service", got)
 	}
+	// A task that needs a whole machine of some type finds one.
+	whole := modelSpec("j-000003")
+	whole.Need = cpus(8)
+	for _, k := range []int{1, 3, 5} {
+		machines[k].Type, machines[k].Size = "large", cpus(16)
+	}
+	if got := keepRoom(machines, []JobView{{Spec: whole}}, like, func(int) bool { return false }); fmt.Sprint(got) != "[4 0 1 3]" {
+		t.Errorf("kept on %v, where a task needs a whole machine", got)
+	}
 	machines[4].Kept = like.Need
 	array, service := modelSpec("j-000002"), *like
 	array.Need, service.Shape = cpus(2), protocol.Service
 	for _, c := range []struct {
-		spec *protocol.JobSpec
-		want int
-	}{{array, 0}, {&service, 1}} {
+		spec    *protocol.JobSpec
+		overdue bool
+		want    int
+	}{{array, false, 0}, {array, true, 1}, {&service, false, 1}} {
 		s := Snapshot{Teams: []TeamView{{Limit: cpus(100)}}, Machines: []MachineView{machines[4]}, Batch: 10,
-			Jobs: []JobView{{Spec: c.spec, Pending: 1, LiveIn: map[string]int{}, LiveOn: map[int]int{}, Avoid: func(string) bool { return false }}}}
+			Jobs: []JobView{{Spec: c.spec, Overdue: c.overdue, Pending: 1, LiveIn: map[string]int{}, LiveOn: map[int]int{}, Avoid: func(string) bool { return false }}}}
 		if got := len(Plan(&s).Starts); got != c.want {
 			t.Errorf("%d starts of a job of shape %d", got, c.spec.Shape)
 		}
--- a/internal/coordination/spare.go
+++ b/internal/coordination/spare.go
@@ -24,11 +24,23 @@
 
 // keepRoom chooses the machines on which room for one more replica like a given
 // one is kept from everything else: in each zone those that have it already, else
-// those where it comes soonest, among them the ones that were chosen before.
-func keepRoom(machines []MachineView, like *protocol.JobSpec, before func(k int) bool) []int {
+// those where it comes soonest, among them the ones that were chosen before. Types
+// of which a waiting task needs nearly a whole machine are left to such tasks, where
+// there are others.
+func keepRoom(machines []MachineView, jobs []JobView, like *protocol.JobSpec, before func(k int) bool) []int {
 	if like == nil {
 		return nil
 	}
+	needed := map[string]bool{}
+	for k := range machines {
+		m := &machines[k]
+		if _, seen := needed[m.Type]; !seen {
+			rest := m.Size.Plus(like.Need, -1)
+			needed[m.Type] = slices.ContainsFunc(jobs, func(j JobView) bool {
+				return m.Size.Fits(j.Spec.Need) > 0 && rest.Fits(j.Spec.Need) == 0
+			})
+		}
+	}
 	byZone := map[string][]int{}
 	var fleet units.Amount
 	for k := range machines {
@@ -57,6 +69,7 @@
 		slices.SortStableFunc(list, func(a, b int) int {
 			x, y := &machines[a], &machines[b]
 			return cmp.Or(
+				cmp.Compare(number(needed[x.Type]), number(needed[y.Type])),
 				-cmp.Compare(number(x.Free.Fits(like.Need) > 0), number(y.Free.Fits(like.Need) > 0)),
 				-cmp.Compare(number(before(a)), number(before(b))),
 				-cmp.Compare(number(x.Images(like.Image)), number(y.Images(like.Image))),
@@ -101,7 +114,7 @@
 // keep notes on the machines of a snapshot what room is kept on them.
 func (t *Term) keep(s *Snapshot, machines []*bookkeeping.Machine) {
 	like := t.spareLike()
-	kept := keepRoom(s.Machines, like, func(k int) bool { return t.kept[machines[k]] != units.Resources{} })
+	kept := keepRoom(s.Machines, s.Jobs, like, func(k int) bool { return t.kept[machines[k]] != units.Resources{} })
 	clear(t.kept)
 	for _, k := range kept {
 		s.Machines[k].Kept = like.Need
