--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -33,8 +33,8 @@
 // report more often than that: a connection that is in use is not closed.
 const usersPause = 10 * units.Second
 
-// socketsKept are left for links, the state service and the cloud.
-const socketsKept = 48
+// socketsKept are left for links, the state service, the cloud and direct commands.
+const socketsKept = 64
 
 // NewController makes a node from its settings.
 func NewController(s *config.Settings, policy *config.Policy, clock units.Clock, random *rand.Rand, log *slog.Logger) *Controller {
