--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -36,16 +36,20 @@
 	Attempts map[AttemptKey]*Attempt
 	Ended    int // ended tasks in its last report
 
-	Seen         bool // it reported to this leader
-	Settled      bool // what it holds is known
+	Seen         bool   // it reported to this leader
+	Term         uint64 // the highest term it had seen by its last report
 	Session, Seq uint64
 	LastAnswered units.Micros // when its last answered report came in
 	Told         Told         // by the last answer
 	Unheard      int          // answers in a row that had no effect
-	NoticeEnds   units.Micros // when the cloud takes it away; 0: no notice
-	SetAside     bool         // faulty: gets no work and is returned
-	Slow         bool
-	BlockedUntil units.Micros // refused for want of room: our count is off
+	UnheardAt    units.Micros // when the last of these showed, or its session began
+	// HungCancelled: it held tasks of a cancelled job when its lease ran out, and has
+	// not reported since. If it hangs they are on it still.
+	HungCancelled bool
+	NoticeEnds    units.Micros // when the cloud takes it away; 0: no notice
+	SetAside      bool         // faulty: gets no work and is returned
+	Slow          bool
+	BlockedUntil  units.Micros // refused for want of room: our count is off
 
 	Stage      string // as the cloud lists it
 	Rented     units.Micros
@@ -467,7 +471,7 @@
 // Remove drops a machine that is certainly gone, and all that was on it.
 func (l *Ledger) Remove(m *Machine, now units.Micros) {
 	l.Emptied(m, now)
-	l.Settle(m, now)
+	l.Settle(m.ID)
 	delete(l.Machines, m.ID)
 	if i, ok := l.find(m.ID); ok {
 		l.ordered = slices.Delete(l.ordered, i, i+1)
@@ -495,14 +499,8 @@
 	return out
 }
 
-// Settle notes that what the machine holds is known.
-func (l *Ledger) Settle(m *Machine, now units.Micros) {
-	m.Settled = true
-	l.SettleName(m.ID)
-}
-
-// SettleName is Settle for a machine that may have left the ledger.
-func (l *Ledger) SettleName(id string) {
+// Settle notes that what a machine holds is known.
+func (l *Ledger) Settle(id string) {
 	for _, j := range l.doubts[id] {
 		delete(j.Doubts, id)
 		if len(j.Doubts) == 0 {
@@ -524,6 +522,21 @@
 // told us of.
 func (l *Ledger) Doubtful(id string) bool { return len(l.doubts[id]) > 0 }
 
+// HoldsCancelled tells whether a machine may hold tasks of a cancelled job.
+func (l *Ledger) HoldsCancelled(id string) bool {
+	if m := l.Machines[id]; m != nil {
+		if m.HungCancelled {
+			return true
+		}
+		for _, a := range m.Attempts {
+			if a.Job.Cancelled {
+				return true
+			}
+		}
+	}
+	return slices.ContainsFunc(l.doubts[id], func(j *Job) bool { return j.Cancelled })
+}
+
 // Doubts counts the machines that may hold tasks nobody has told us of.
 func (l *Ledger) Doubts() int { return len(l.doubts) }
 
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -42,6 +42,7 @@
 type Store struct {
 	*budget
 	client *transport.Client
+	dial   transport.DialFunc
 	addr   string
 	Stats  *StoreStats
 }
@@ -89,16 +90,16 @@
 }
 
 // NewStore makes a client of the state service for one of several controllers.
-func NewStore(addr string, limits config.State, others int) *Store {
+func NewStore(dial transport.DialFunc, addr string, limits config.State, others int) *Store {
 	b := &budget{limits: limits, others: others}
 	b.set()
-	return &Store{client: transport.NewClient(addr, 8, 4<<20), addr: addr, Stats: new(StoreStats), budget: b}
+	return &Store{client: transport.NewClient(dial, addr, 8, 4<<20), dial: dial, addr: addr, Stats: new(StoreStats), budget: b}
 }
 
 // Reserved is the same store over connections of its own: a lease must not
 // wait behind requests that hang.
 func (s *Store) Reserved() *Store {
-	return &Store{client: transport.NewClient(s.addr, 2, 1<<20), addr: s.addr, Stats: s.Stats, budget: s.budget}
+	return &Store{client: transport.NewClient(s.dial, s.addr, 2, 1<<20), dial: s.dial, addr: s.addr, Stats: s.Stats, budget: s.budget}
 }
 
 // Lead gives this node the leader's share, or takes it away.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -81,6 +81,9 @@
 // Lease is how long a worker goes on without an answer.
 func (w Workers) Lease() units.Micros { return units.Seconds(w.LeaseS) }
 
+// Cancel is how long after its user was told a cancelled job's tasks may be there.
+func (w Workers) Cancel() units.Micros { return units.Seconds(w.CancelS) }
+
 // State holds the limits of the state service.
 type State struct {
 	RPS      float64 `json:"rps"`
--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -28,7 +28,7 @@
 // report that settles what the machine holds, and the worker looks for the new
 // leader at once instead of when its next report is due.
 func (t *Term) announceLoop(ctx context.Context) {
-	caller := transport.NewCaller(protocol.MaxBody)
+	caller := transport.NewCaller(t.Dial, protocol.MaxBody)
 	at := map[string]units.Micros{}
 	tries := map[string]int{}
 	var wg sync.WaitGroup
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -82,7 +82,7 @@
 	perFleet(b, func(b *testing.B, term *Term, reports []*protocol.Report) {
 		s := modelSettings()
 		s.Services.State, s.Services.Cloud = "127.0.0.1:1", "127.0.0.1:1"
-		c := NewController(s, term.Policy, term.Clock, rand.New(rand.NewPCG(1, 1)), term.Log)
+		c := NewController(s, Environment{Policy: term.Policy, Clock: term.Clock, Random: rand.New(rand.NewPCG(1, 1)), Log: term.Log})
 		c.deps.Lease = term.Lease
 		c.term.Store(term)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -92,7 +92,7 @@
 		ctx, cancel := context.WithCancel(b.Context())
 		defer cancel()
 		go func() { _ = c.server.Serve(ctx, l) }()
-		client := transport.NewClient(l.Addr().String(), 1, protocol.MaxBody)
+		client := transport.NewClient(nil, l.Addr().String(), 1, protocol.MaxBody)
 		for i := 0; b.Loop(); i++ {
 			r := reports[i%len(reports)]
 			r.Seq += 10
--- a/internal/coordination/cloudloop.go
+++ b/internal/coordination/cloudloop.go
@@ -152,7 +152,7 @@
 			// release only takes it off the list.
 			t.Log.Info("machine failed", "machine", m.ID, "lost", len(m.Attempts))
 			t.ledger.Emptied(m, now)
-			t.ledger.Settle(m, now)
+			t.ledger.Settle(m.ID)
 			m.Releasing = true
 			kick(t.kickRound)
 		}
@@ -194,7 +194,7 @@
 			if m := t.ledger.Machines[id]; m != nil {
 				t.remove(m, now)
 			} else {
-				t.ledger.SettleName(id)
+				t.ledger.Settle(id)
 			}
 		}
 		t.Log.Info("machines released", "machines", names[:n])
@@ -323,6 +323,11 @@
 	}
 	for id := range silent {
 		m := t.ledger.Machines[id]
+		if t.ledger.HoldsCancelled(id) && (m == nil || zones[m.Zone] == nil || zones[m.Zone].reporting > 0) {
+			// A machine that hangs does not end its tasks with its lease, so these
+			// would be there beyond cancel_s. A cut does not hit a part of a zone.
+			continue
+		}
 		if !fleet.reportTo(2) || m != nil && !t.mayGoAlone(m, zones[m.Zone], now) {
 			delete(silent, id)
 		}
@@ -352,7 +357,7 @@
 	have := units.AmountOf(in.FleetCPUs)
 	var out []*bookkeeping.Machine
 	for _, m := range t.ledger.Machines {
-		if m.Seen && !m.Releasing && m.Settled && len(m.Attempts) == 0 && now-m.IdleSince > wait && now-t.claimedAt > wait {
+		if m.Seen && !m.Releasing && m.Term == t.number && len(m.Attempts) == 0 && now-m.IdleSince > wait && now-t.claimedAt > wait {
 			out = append(out, m)
 		}
 	}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -36,20 +36,30 @@
 // socketsKept are left for links, the state service, the cloud and direct commands.
 const socketsKept = 64
 
+// Environment is what a node gets from the program around it.
+type Environment struct {
+	Policy *config.Policy
+	Clock  units.Clock
+	Random *rand.Rand
+	Log    *slog.Logger
+	Dial   transport.DialFunc // nil: the machine's own network
+}
+
 // NewController makes a node from its settings.
-func NewController(s *config.Settings, policy *config.Policy, clock units.Clock, random *rand.Rand, log *slog.Logger) *Controller {
+func NewController(s *config.Settings, env Environment) *Controller {
+	clock, log := env.Clock, env.Log
 	others := make([]string, len(s.Others))
 	for i, o := range s.Others {
 		others[i] = o.Node
 	}
-	store := bookkeeping.NewStore(s.Services.State, s.Fleet.State, len(others))
+	store := bookkeeping.NewStore(env.Dial, s.Services.State, s.Fleet.State, len(others))
 	format := NewFleetFormat(s.Node, others, store, log)
 	metrics := NewMetrics()
-	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), random, log)
+	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), env.Random, log)
 	c := &Controller{
-		deps: Deps{Settings: s, Policy: policy, Store: store, Cloud: bookkeeping.NewCloud(s.Services.Cloud, s.Fleet.Cloud),
+		deps: Deps{Settings: s, Policy: env.Policy, Store: store, Dial: env.Dial, Cloud: bookkeeping.NewCloud(env.Dial, s.Services.Cloud, s.Fleet.Cloud),
 			Lease: lease, Clock: clock, Log: log, Metrics: metrics, Format: format},
-		peers: NewPeers(s.Others, clock, random, log),
+		peers: NewPeers(env.Dial, s.Others, clock, env.Random, log),
 		server: transport.NewServer(max(s.Fleet.Resources.MaxConnections-socketsKept, s.Fleet.Resources.MaxConnections/2),
 			3*s.Fleet.Workers.Report()+usersPause),
 	}
@@ -195,6 +205,12 @@
 func (c *Controller) submit(ctx context.Context, body []byte, forward bool) transport.Response {
 	spec, err := protocol.ParseSubmission(body)
 	if err != nil {
+		// A job that is known stays known, whatever else a repeat says.
+		if id, ok := protocol.SubmissionID(body); ok {
+			if r := c.poll(ctx, id, forward); r.Status != http.StatusNotFound {
+				return r
+			}
+		}
 		return Refuse(http.StatusBadRequest, err.Error())
 	}
 	var r transport.Response
@@ -220,7 +236,7 @@
 	r := c.forward(ctx, forward, protocol.FramePoll, id, nil)
 	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.leader()) &&
 		c.deps.Lease.Unanswered() < c.deps.Lease.timing.Length {
-		return PollStored(ctx, c.deps.Store, id)
+		return PollStored(ctx, c.deps.Store, id, c.deps.Settings.Fleet.Workers)
 	}
 	return r
 }
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -45,7 +45,7 @@
 	}
 	s.Others = []config.Peer{{Node: "leader", Endpoint: addr}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	c := NewController(s, config.DefaultPolicy(), clock, rand.New(rand.NewPCG(1, 1)), log)
+	c := NewController(s, Environment{Policy: config.DefaultPolicy(), Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Log: log})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go c.peers.Run(ctx)
@@ -234,7 +234,7 @@
 	s := modelSettings()
 	s.Services.State = "127.0.0.1:1"
 	s.Others = []config.Peer{{Node: "next", Endpoint: mesh.Addr().String()}}
-	c := NewController(s, config.DefaultPolicy(), clock, rand.New(rand.NewPCG(1, 1)), log)
+	c := NewController(s, Environment{Policy: config.DefaultPolicy(), Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Log: log})
 	l := c.deps.Lease
 	l.answeredAt = clock.now
 	l.watch.saw(bookkeeping.Lease{Holder: s.Node, Incarnation: 3}, 1, clock.now)
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -44,7 +44,7 @@
 
 // directLoop tells machines what cannot wait.
 func (t *Term) directLoop(ctx context.Context) {
-	caller := transport.NewCaller(protocol.MaxBody)
+	caller := transport.NewCaller(t.Dial, protocol.MaxBody)
 	slots := make(chan struct{}, directAtATime)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -86,12 +86,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.ledger.Machines[id]
-	if m == nil || !m.Settled || !t.Lease.Valid(t.number) {
+	if m == nil || m.Term != t.number || !t.Lease.Valid(t.number) {
 		return "", nil
 	}
 	var out []protocol.Command
 	for _, a := range m.Sorted() {
-		if a.Stop && (a.Stage == bookkeeping.Running || a.Stage == bookkeeping.Fetching) && len(out) < protocol.MaxCommands {
+		if len(out) == protocol.MaxCommands {
+			break
+		}
+		switch {
+		case a.Job.Cancelled && a.Stage != bookkeeping.Assigned:
+			out = append(out, stopCommand(a.Task(), a.Number, 0))
+		case a.Stop && (a.Stage == bookkeeping.Running || a.Stage == bookkeeping.Fetching):
 			out = append(out, stopCommand(a.Task(), a.Number, a.Grace))
 		}
 	}
--- a/internal/coordination/format_test.go
+++ b/internal/coordination/format_test.go
@@ -23,7 +23,7 @@
 	t.Cleanup(server.Close)
 	out := map[string]*FleetFormat{}
 	for i, node := range nodes {
-		store := bookkeeping.NewStore(strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, len(nodes)-1)
+		store := bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, len(nodes)-1)
 		others := append(append([]string{}, nodes[:i]...), nodes[i+1:]...)
 		out[node] = NewFleetFormat(node, others, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	}
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -380,7 +380,7 @@
 				l.Drop(jobs[0])
 				delete(named, jobs[0])
 			}
-			l.SettleName(id)
+			l.Settle(id)
 			if l.Doubtful(id) {
 				rt.Fatal("a settled machine is in doubt")
 			}
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -81,7 +81,7 @@
 	switch {
 	case errors.As(err, &conflict):
 		// It is known already: a repeat, or the leader took it after all.
-		if r := PollStored(ctx, store, spec.ID); r.Status == http.StatusOK {
+		if r := PollStored(ctx, store, spec.ID, c.deps.Settings.Fleet.Workers); r.Status == http.StatusOK {
 			return r
 		}
 		return refused
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
@@ -34,6 +35,18 @@
 	return length + length*drift/1_000_000 + margin
 }
 
+// leaseBound is how long a machine's tasks may go on after its last answered report
+// came in here, by any clock.
+func leaseBound(w config.Workers) units.Micros { return withDrift(w.Lease(), 500*units.Millisecond) }
+
+// confirmsAtOnce tells whether a user may be told of a cancellation as soon as it is
+// durable. From then on every controller that prolongs a worker's lease knows of it:
+// the leader that stored it had noted it before, former ones have no lease any more,
+// and later ones answer no worker before they have read the records. So what no
+// command reaches ends with the worker's lease, and that must be within cancel_s.
+// Otherwise the user is told once nothing of the job is left on any machine.
+func confirmsAtOnce(w config.Workers) bool { return leaseBound(w) <= w.Cancel() }
+
 // TimingFor chooses the lease's pace. A leader's loss costs the lease and the
 // workers' way to its successor, all within the workers' own lease; a longer
 // fleet lease only helps through outages of the state service, which the
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -602,7 +602,7 @@
 	if machine := t.ledger.Machines[w.id]; machine != nil {
 		t.ledger.Remove(machine, now)
 	} else {
-		t.ledger.SettleName(w.id)
+		t.ledger.Settle(w.id)
 	}
 	m.workers[i] = m.newWorker()
 }
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -40,13 +40,13 @@
 )
 
 // NewPeers makes the links to the other controllers.
-func NewPeers(others []config.Peer, clock units.Clock, random *rand.Rand, log *slog.Logger) *Peers {
+func NewPeers(dial transport.DialFunc, others []config.Peer, clock units.Clock, random *rand.Rand, log *slog.Logger) *Peers {
 	p := &Peers{clock: clock, links: map[string]*peerLink{}}
 	for _, o := range others {
 		l := &peerLink{open: map[uint64]chan protocol.Frame{}}
 		l.heard.Store(-1 << 50)
 		seeded := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
-		l.link = transport.NewLink(o.Endpoint, func(frame []byte) { p.received(l, frame) }, l.drop, seeded, log)
+		l.link = transport.NewLink(dial, o.Endpoint, func(frame []byte) { p.received(l, frame) }, l.drop, seeded, log)
 		p.links[o.Node] = l
 	}
 	return p
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -17,24 +17,46 @@
 	return min(max(t.Settings.Fleet.Workers.Report()/10, 150*units.Millisecond), 500*units.Millisecond)
 }
 
+// restoreWait is how long a report waits for the restore of the records: mostly
+// it is done sooner, and the worker would only come back to this node.
+const restoreWait = 2 * units.Second
+
+// waitRestored waits until the records are restored, and tells whether they are.
+func (t *Term) waitRestored(ctx context.Context) bool {
+	select {
+	case <-t.restored:
+		return true
+	default:
+	}
+	timer := time.NewTimer(restoreWait.Duration())
+	defer timer.Stop()
+	select {
+	case <-t.restored:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
 // Report takes in a worker's report and gives the commands for it. It is not
 // accepted (false) when this node may not command, or the report is an old
 // one.
+//
+// An answer prolongs the worker's lease, and with it whatever runs there. So none
+// is given before the records are restored: this node might not know yet of a
+// cancellation that a former leader's user was told of.
 func (t *Term) Report(ctx context.Context, r *protocol.Report) (protocol.ReportAnswer, bool) {
+	answer := protocol.ReportAnswer{Term: t.number, Commands: []protocol.Command{}}
+	if !t.waitRestored(ctx) {
+		return answer, false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Steady()
-	answer := protocol.ReportAnswer{Term: t.number, Commands: []protocol.Command{}}
 	if !t.Lease.Valid(t.number) || r.Term > t.number {
 		return answer, false
 	}
-	if !t.ready {
-		if e, ok := t.early[r.Machine]; ok && !newer(r, e.report.Session, e.report.Seq) || len(t.early) >= maxEarly {
-			return answer, false
-		}
-		t.early[r.Machine] = earlyReport{r, now}
-		return answer, true
-	}
 	m := t.observe(r, now)
 	if m == nil {
 		return answer, false
@@ -76,7 +98,7 @@
 	if m.Seen && !newer(r, m.Session, m.Seq) {
 		return nil
 	}
-	t.heard(m, r)
+	t.heard(m, r, now)
 	if m.Seen && r.Session > m.Session {
 		t.Log.Info("machine began a new session", "machine", m.ID, "session", r.Session, "lost", len(m.Attempts))
 		t.ledger.Emptied(m, now)
@@ -123,17 +145,26 @@
 	// Only a report that shows our term was sent after an answer of ours was
 	// received. Any other may be a copy that comes late, of a machine that is
 	// gone by now, and an answer of a former leader may still be on its way.
-	if !m.Settled && r.Term == t.number {
-		t.ledger.Settle(m, now)
+	if m.Term != r.Term && r.Term == t.number {
+		t.ledger.Settle(m.ID)
 		kick(t.kickRound)
 	}
+	m.Term, m.HungCancelled = r.Term, false
 	return m
 }
 
 // heard works out from a newer report whether the last answer that commanded
 // something reached the machine: all of an answer's commands are carried out,
-// or none.
-func (t *Term) heard(m *bookkeeping.Machine, r *protocol.Report) {
+// or none. A machine that was told nothing shows it by its session: without an
+// answer within its lease it would have begun another one.
+func (t *Term) heard(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) {
+	if m.Unheard > 0 && r.Session == m.Session && now-m.UnheardAt > t.workerLease() {
+		t.Log.Info("machine hears again", "machine", m.ID)
+		m.Unheard = 0
+	}
+	if r.Session != m.Session {
+		m.UnheardAt = now
+	}
 	if !m.Told.Given {
 		return
 	}
@@ -155,6 +186,7 @@
 		m.Unheard = 0
 		return
 	}
+	m.UnheardAt = now
 	if m.Unheard++; m.Unheard == deafAfter {
 		t.Log.Info("machine carries nothing out", "machine", m.ID, "task", protocol.TaskName(m.Told.Key.Job, m.Told.Key.Index),
 			"attempt", m.Told.Key.Number, "verb", m.Told.Verb)
@@ -252,7 +284,7 @@
 // undurable gives a channel to wait on when some start for the machine lacks
 // the save that must come first.
 func (t *Term) undurable(m *bookkeeping.Machine) <-chan struct{} {
-	if !m.Settled {
+	if m.Term != t.number {
 		return nil
 	}
 	for _, a := range m.Attempts {
@@ -306,7 +338,7 @@
 				a.Job.Changed(now, true)
 				kick(t.kickSave)
 			}
-		case m.Settled && a.Job.MayStartOn(m.ID) && len(out) < protocol.MaxCommands:
+		case m.Term == t.number && a.Job.MayStartOn(m.ID) && len(out) < protocol.MaxCommands:
 			a.Stage, a.SentSeq = bookkeeping.Sent, r.Seq
 			out = append(out, protocol.Command{Verb: protocol.Start, Task: a.Task(), Attempt: a.Number})
 			tell(m, out, bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number})
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -116,30 +116,27 @@
 
 // expire gives up what silent machines held once their leases have run out.
 func (t *Term) expire(now units.Micros) {
-	lease := withDrift(t.Settings.Fleet.Workers.Lease(), 500*units.Millisecond)
+	lease := t.workerLease()
 	for _, m := range t.ledger.Machines {
-		if now-max(m.LastAnswered, t.claimedAt) < lease {
-			continue
-		}
-		if len(m.Attempts) > 0 {
+		if len(m.Attempts) > 0 && now-max(m.LastAnswered, t.claimedAt) >= lease {
 			t.Log.Info("machine's lease ran out", "machine", m.ID, "lost", len(m.Attempts))
+			m.HungCancelled = m.HungCancelled || t.ledger.HoldsCancelled(m.ID)
 			t.ledger.Emptied(m, now)
 		}
-		if !m.Settled {
-			t.ledger.Settle(m, now)
+	}
+	if !t.settled && t.ready && now-t.claimedAt >= lease {
+		// What a former leader started is over everywhere, but on machines that
+		// accepted an answer of this one since: and these have told what they hold,
+		// as an answer is accepted only to the newest report. A machine that hears
+		// no answer would otherwise stay in doubt for as long as it reports.
+		for _, id := range t.ledger.DoubtfulMachines() {
+			t.ledger.Settle(id)
 		}
 	}
 	if !t.settled && t.ready && t.ledger.Doubts() == 0 {
 		t.settled = true
 		t.Log.Info("all machines settled", "after_ms", (now-t.claimedAt)/units.Millisecond)
 	}
-	if now-t.claimedAt >= lease {
-		for _, id := range t.ledger.DoubtfulMachines() {
-			if t.ledger.Machines[id] == nil {
-				t.ledger.SettleName(id)
-			}
-		}
-	}
 	for _, j := range t.ledger.Jobs {
 		if j.Cancelled && len(j.Live) == 0 && len(j.Doubts) == 0 && j.CancelStored && !j.Ending() {
 			j.Changed(now, true)
@@ -148,6 +145,10 @@
 	}
 }
 
+// workerLease is how long a machine may go on after its last answered report came
+// in, by this node's clock.
+func (t *Term) workerLease() units.Micros { return leaseBound(t.Settings.Fleet.Workers) }
+
 // round plans on a snapshot and takes the outcome over into the ledger.
 func (t *Term) round(now units.Micros, answering *bookkeeping.Machine) {
 	began := t.Clock.Steady()
@@ -295,7 +296,7 @@
 
 // accepts tells whether a machine may be given work.
 func (t *Term) accepts(m *bookkeeping.Machine, now units.Micros) bool {
-	return m.Seen && m.Settled && m.Unheard < deafAfter && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
+	return m.Seen && m.Term == t.number && m.Unheard < deafAfter && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
 		now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
 }
 
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -12,6 +12,7 @@
 	"dunestand/internal/bookkeeping"
 	"dunestand/internal/config"
 	"dunestand/internal/protocol"
+	"dunestand/internal/transport"
 	"dunestand/internal/units"
 )
 
@@ -24,6 +25,7 @@
 	Lease    *FleetLease
 	Clock    units.Clock
 	Log      *slog.Logger
+	Dial     transport.DialFunc // nil: the machine's own network
 	Metrics  *Metrics
 	Format   *FleetFormat
 	// Unreached counts the other controllers that cannot be reached.
@@ -43,7 +45,6 @@
 	ready       bool
 	ledger      *bookkeeping.Ledger
 	heads       []uint64
-	early       map[string]earlyReport // reports that came in before the restore was done
 	finals      *finalCache
 	attempts    uint64
 	saves       uint64
@@ -64,26 +65,19 @@
 	saving      int
 	rent        renting
 
+	restored   chan struct{} // closed once the records are restored
 	kickSave   chan struct{}
 	kickRound  chan struct{}
 	kickDirect chan struct{}
 }
 
-type earlyReport struct {
-	report *protocol.Report
-	at     units.Micros
-}
-
-// maxEarly bounds the reports kept while a restore goes on.
-const maxEarly = 4096
-
-// NewTerm starts a term that was just claimed. Reports may be answered at
-// once; everything else waits for Run to restore the records.
+// NewTerm starts a term that was just claimed. Everything waits for Run to
+// restore the records.
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
 	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
 		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State), heads: make([]uint64, bookkeeping.Buckets),
-		early: map[string]earlyReport{}, finals: newFinalCache(4096), tombs: map[string]units.Micros{}, hurried: map[string]*hurried{}, kept: map[*bookkeeping.Machine]units.Resources{},
+		restored: make(chan struct{}), finals: newFinalCache(4096), tombs: map[string]units.Micros{}, hurried: map[string]*hurried{}, kept: map[*bookkeeping.Machine]units.Resources{},
 		rent: newRenting(), held: map[*bookkeeping.Machine]*bookkeeping.Job{},
 		kickSave: make(chan struct{}, 1), kickRound: make(chan struct{}, 1), kickDirect: make(chan struct{}, 1)}
 }
@@ -189,8 +183,7 @@
 // lease to others.
 const standBack = 30 * units.Second
 
-// install takes over what the records say, and then the reports that came in
-// meanwhile.
+// install takes over what the records say.
 func (t *Term) install(jobs []*bookkeeping.Job, catalog protocol.Catalog) {
 	now := t.Clock.Steady()
 	t.ledger.SetTypes(catalog.Types)
@@ -200,10 +193,7 @@
 		t.ledger.Add(j)
 	}
 	t.ready = true
-	for _, e := range t.early {
-		t.observe(e.report, e.at)
-	}
-	t.early = nil
+	close(t.restored)
 	t.Log.Info("records restored", "jobs", len(jobs), "doubtful_machines", t.ledger.Doubts(), "took_ms", (now-t.claimedAt)/units.Millisecond)
 	kick(t.kickRound)
 }
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -21,7 +21,7 @@
 	server := httptest.NewServer(state)
 	t.Cleanup(server.Close)
 	term := testTerm(number, &manualClock{now: units.Second})
-	term.Store = bookkeeping.NewStore(strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, 0)
+	term.Store = bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, 0)
 	term.Format.store = term.Store
 	return term
 }
@@ -105,10 +105,10 @@
 	if r := term.Poll(ctx, "j-000007"); r.Status != http.StatusOK || state(t, r).Stage != protocol.StageDone {
 		t.Fatalf("poll: %d %s", r.Status, r.Body)
 	}
-	if r := PollStored(ctx, term.Store, "j-000007"); r.Status != http.StatusOK || state(t, r).Stage != protocol.StageDone {
+	if r := PollStored(ctx, term.Store, "j-000007", term.Settings.Fleet.Workers); r.Status != http.StatusOK || state(t, r).Stage != protocol.StageDone {
 		t.Fatalf("stored poll: %d", r.Status)
 	}
-	if r := PollStored(ctx, term.Store, "j-000008"); r.Status != http.StatusNotFound {
+	if r := PollStored(ctx, term.Store, "j-000008", term.Settings.Fleet.Workers); r.Status != http.StatusNotFound {
 		t.Fatalf("stored poll of an unknown job: %d", r.Status)
 	}
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -37,10 +37,14 @@
 	return stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: f.Stage, Done: f.Done})
 }
 
-func jobAnswer(status int, j *bookkeeping.Job) transport.Response {
+// cancelled tells whether the user of a job may be told that it is cancelled, though
+// it is not over.
+func cancelled(j *bookkeeping.Job, w config.Workers) bool { return j.CancelStored && confirmsAtOnce(w) }
+
+func jobAnswer(status int, j *bookkeeping.Job, w config.Workers) transport.Response {
 	s := protocol.JobState{UID: j.Spec.ID, Stage: protocol.StagePending, Done: j.DoneCount(), Running: j.Running()}
 	switch {
-	case j.CancelStored:
+	case cancelled(j, w):
 		s.Stage = protocol.StageCancelled
 	case s.Running > 0 || s.Done > 0:
 		s.Stage = protocol.StageRunning
@@ -104,7 +108,7 @@
 		kick(t.kickSave)
 	} else if j.Accepted() {
 		defer t.mu.Unlock()
-		return jobAnswer(http.StatusOK, j)
+		return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers)
 	}
 	saved := j.Saved()
 	t.mu.Unlock()
@@ -119,7 +123,7 @@
 	if f, ok := t.finals.get(spec.ID); ok {
 		return finalAnswer(spec.ID, f)
 	}
-	return jobAnswer(http.StatusCreated, j)
+	return jobAnswer(http.StatusCreated, j, t.Settings.Fleet.Workers)
 }
 
 func waitFor(ctx context.Context, saved <-chan struct{}) bool {
@@ -220,7 +224,7 @@
 	case !j.Accepted():
 		return unavailable("the job is being accepted"), true
 	}
-	return jobAnswer(http.StatusOK, j), true
+	return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers), true
 }
 
 // Cancel cancels a job, durably, before it answers.
@@ -243,9 +247,9 @@
 		t.mu.Unlock()
 		return unavailable("the job is being accepted")
 	}
-	if j.CancelStored {
+	if cancelled(j, t.Settings.Fleet.Workers) {
 		defer t.mu.Unlock()
-		return jobAnswer(http.StatusOK, j)
+		return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers)
 	}
 	t.cancelJob(j)
 	saved := j.Saved()
@@ -254,13 +258,13 @@
 		return unavailable("state service is slow")
 	}
 	t.mu.Lock()
-	over := j.CancelStored
+	over := cancelled(j, t.Settings.Fleet.Workers)
 	if _, final := t.finals.get(id); final {
 		over = true
 	}
 	t.mu.Unlock()
 	if !over {
-		return unavailable("the cancellation is not stored yet")
+		return unavailable("the cancellation is not stored yet, or tasks are still being stopped")
 	}
 	return t.Poll(ctx, id)
 }
@@ -273,14 +277,20 @@
 	}
 	j.Cancelled = true
 	t.Log.Info("job cancelled", "job", j.Spec.ID, "live", len(j.Live))
-	j.Changed(t.Clock.Steady(), true)
+	now := t.Clock.Steady()
+	for _, a := range j.Live {
+		if a.Stage == bookkeeping.Sent || a.Stage == bookkeeping.Fetching {
+			t.hurry(a.Machine, nil, now) // or it would begin yet
+		}
+	}
+	j.Changed(now, true)
 	kick(t.kickSave)
 }
 
 // PollStored answers a poll from the records alone, for a node that does not
 // lead and cannot reach the leader. What they say was committed before anybody
 // was told of it, so a fresh read is never older than an earlier answer.
-func PollStored(ctx context.Context, store *bookkeeping.Store, id string) transport.Response {
+func PollStored(ctx context.Context, store *bookkeeping.Store, id string, w config.Workers) transport.Response {
 	if !store.Spare() {
 		return unavailable("no leader")
 	}
@@ -288,7 +298,7 @@
 	// ones. It is looked for in the two latter first, since it is there nearly
 	// always; one that is in none of the three may have moved in between, and is
 	// then found by a second look.
-	if r, found := storedState(ctx, store, id); found {
+	if r, found := storedState(ctx, store, id, w); found {
 		return r
 	}
 	item, ok, err := store.Get(ctx, bookkeeping.KeyInbox(id), 800*units.Millisecond)
@@ -301,14 +311,14 @@
 		}
 		return stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: protocol.StagePending})
 	}
-	if r, found := storedState(ctx, store, id); found {
+	if r, found := storedState(ctx, store, id, w); found {
 		return r
 	}
 	return Refuse(http.StatusNotFound, "no such job")
 }
 
 // storedState looks for a job in the live and then in the final records.
-func storedState(ctx context.Context, store *bookkeeping.Store, id string) (transport.Response, bool) {
+func storedState(ctx context.Context, store *bookkeeping.Store, id string, w config.Workers) (transport.Response, bool) {
 	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), 800*units.Millisecond)
 	if err != nil {
 		return unavailable("state service is out of reach"), true
@@ -318,7 +328,7 @@
 		if err != nil {
 			return unavailable("the job's record is not readable"), true
 		}
-		return jobAnswer(http.StatusOK, jobs[0]), true
+		return jobAnswer(http.StatusOK, jobs[0], w), true
 	}
 	f, ok, err := ReadFinal(ctx, store, id)
 	switch {
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -140,6 +140,18 @@
 // ValidJobID tells whether a text has the form of a job id.
 func ValidJobID(s string) bool { return jobID.MatchString(s) }
 
+// SubmissionID gives the job's id in a submission, of which nothing else need be
+// right.
+func SubmissionID(body []byte) (string, bool) {
+	var w struct {
+		UID string `cbor:"uid"`
+	}
+	if Decode(body, &w) != nil || !ValidJobID(w.UID) {
+		return "", false
+	}
+	return w.UID, true
+}
+
 // ParseSubmission reads and checks a user's submission. Its error is the one
 // line that the user gets with status 400.
 func ParseSubmission(body []byte) (*JobSpec, error) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -69,7 +69,7 @@
 	}
 	var names []string
 	for len(names) < rent.Count && len(c.machines) < c.capacity {
-		m := protocol.ListedMachine{ID: fmt.Sprintf("i-%06d", c.made), Type: rent.Type, Zone: rent.Zone, Spot: rent.Spot, Stage: protocol.MachineRunning}
+		m := protocol.ListedMachine{ID: fmt.Sprintf("i-%06d", c.made), Endpoint: fmt.Sprintf("i-%06d:9000", c.made), Type: rent.Type, Zone: rent.Zone, Spot: rent.Spot, Stage: protocol.MachineRunning}
 		c.made++
 		c.machines[m.ID] = m
 		names = append(names, m.ID)
--- /dev/null
+++ b/internal/standin/machine.go
@@ -0,0 +1,428 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dunestand/internal/protocol"
+)
+
+// UsersPort is where the controllers of a Network take users and workers.
+const UsersPort = ":8000"
+
+// Pace is how workers report.
+type Pace struct{ Report, Lease time.Duration }
+
+// The times of the workers' protocol.
+const (
+	workerGivesUp  = 4 * time.Second
+	workerNextNode = time.Second
+	workerLeast    = 500 * time.Millisecond // between two reports
+	machineStep    = 50 * time.Millisecond
+	machineFetch   = 600 * time.Millisecond
+)
+
+// Machine is a machine with a worker that keeps the whole protocol: sessions and
+// leases, terms, one report in flight, direct commands, images. It tells the
+// Referee what is on it.
+type Machine struct {
+	MachineInfo
+	Type    string
+	Spot    bool
+	CPUs    float64
+	pace    Pace
+	nodes   []string // names of the controllers, reached at NAME and UsersPort
+	net     *Network
+	referee *Referee
+	random  *rand.Rand
+	client  *http.Client
+
+	mu        sync.Mutex
+	gone      bool
+	session   uint64
+	tally     uint64
+	term      uint64
+	termAt    time.Time // when a higher term last counted as a change
+	leaseFrom time.Time
+	changed   bool
+	tasks     map[string]*machineTask
+	trouble   Trouble
+	hungUntil time.Time
+}
+
+type machineTask struct {
+	job     JobInfo
+	index   int
+	attempt uint64
+	stage   string
+	cause   protocol.Cause
+	until   time.Time // when the stage ends by itself
+	left    time.Duration
+}
+
+// Trouble is what befalls a machine.
+type Trouble struct {
+	Deaf bool // its reports arrive; answers and direct commands are lost
+	Mute bool // it reaches no controller; direct commands reach it
+	Cut  bool // neither
+	// Copied is the share of reports of which a copy arrives again later.
+	Copied float64
+	// Held is the share of reports that get no answer and arrive only later.
+	Held float64
+	// Slow is for how long direct commands are held up.
+	Slow time.Duration
+}
+
+// NewMachine makes a machine; Run starts its worker.
+func NewMachine(info MachineInfo, typ string, spot bool, cpus float64, pace Pace, nodes []string, net *Network, referee *Referee, random *rand.Rand) *Machine {
+	return &Machine{MachineInfo: info, Type: typ, Spot: spot, CPUs: cpus, pace: pace, nodes: nodes, net: net, referee: referee, random: random,
+		client:  &http.Client{Transport: &http.Transport{DialContext: net.Dialer(info.ID), DisableKeepAlives: true}},
+		session: 1, leaseFrom: time.Now(), tasks: map[string]*machineTask{}}
+}
+
+// Endpoint is where the machine takes direct commands.
+func (m *Machine) Endpoint() string { return m.ID + ":9000" }
+
+// Set puts the machine into a trouble, or ends it.
+func (m *Machine) Set(t Trouble) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.trouble = t
+}
+
+// Hang stops everything on the machine for a while.
+func (m *Machine) Hang(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hungUntil = time.Now().Add(d)
+}
+
+// Kill ends the machine: what was on it is gone.
+func (m *Machine) Kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.empty()
+	m.gone = true
+}
+
+// Holds counts the tasks that are on the machine.
+func (m *Machine) Holds() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, t := range m.tasks {
+		if t.stage == "running" || t.stage == "flushing" {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) empty() {
+	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+		t := m.tasks[name]
+		if t.stage == "running" || t.stage == "flushing" {
+			m.referee.Ended(t.job.ID, t.index, m.ID, false)
+		}
+	}
+	clear(m.tasks)
+}
+
+func (m *Machine) hung() bool { return time.Now().Before(m.hungUntil) }
+
+// Run plays the machine until ctx ends or it is killed.
+func (m *Machine) Run(ctx context.Context) {
+	l := m.net.Listen(m.Endpoint())
+	srv := &http.Server{Handler: http.HandlerFunc(m.serve)}
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); _ = srv.Serve(l) }()
+	go func() { defer wg.Done(); m.reportLoop(ctx) }()
+	for ctx.Err() == nil && m.step() {
+		sleep(ctx, machineStep)
+	}
+	_ = srv.Close()
+	wg.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// step lets time pass on the machine, and tells whether it is still there.
+func (m *Machine) step() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone || m.hung() {
+		return !m.gone
+	}
+	now := time.Now()
+	if now.Sub(m.leaseFrom) > m.pace.Lease {
+		m.empty()
+		m.session++
+		m.leaseFrom, m.changed = now, true
+	}
+	for _, t := range m.tasks {
+		if t.until.IsZero() || now.Before(t.until) {
+			continue
+		}
+		m.changed = true
+		switch t.stage {
+		case "fetching":
+			t.stage, t.until = "running", now.Add(t.left)
+			m.referee.Started(t.job.ID, t.index, &m.MachineInfo)
+		case "running":
+			t.stage, t.cause, t.until = "ended", protocol.CauseDone, time.Time{}
+			m.referee.Ended(t.job.ID, t.index, m.ID, true)
+		}
+	}
+	return true
+}
+
+// report makes a report of now.
+func (m *Machine) report() []byte {
+	m.tally++
+	m.changed = false
+	bolts := []map[string]any{}
+	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
+		t := m.tasks[name]
+		b := map[string]any{"bolt": name, "try": t.attempt, "stage": t.stage}
+		if t.stage == "ended" {
+			b["cause"] = string(t.cause)
+		}
+		bolts = append(bolts, b)
+	}
+	return protocol.Encode(map[string]any{"dune": m.ID, "endpoint": m.Endpoint(), "loom": m.Type, "yard": m.Zone, "borrowed": m.Spot,
+		"shift": m.session, "tally": m.tally, "baton": m.term, "recall_s": nil, "bolts": bolts})
+}
+
+// reportLoop reports until the machine is gone.
+func (m *Machine) reportLoop(ctx context.Context) {
+	node := m.random.IntN(len(m.nodes))
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		if m.gone {
+			m.mu.Unlock()
+			return
+		}
+		if m.hung() {
+			m.mu.Unlock()
+			sleep(ctx, machineStep)
+			continue
+		}
+		body, session, sent, trouble := m.report(), m.session, time.Now(), m.trouble
+		held := m.random.Float64() < trouble.Held
+		if m.random.Float64() < trouble.Copied {
+			go m.later(ctx, body)
+		}
+		m.mu.Unlock()
+		var status int
+		var answer []byte
+		switch {
+		case trouble.Mute || trouble.Cut:
+		case held:
+			go m.later(ctx, body)
+			sleep(ctx, workerGivesUp)
+		default:
+			status, answer = m.post(ctx, m.nodes[node], body)
+		}
+		for ctx.Err() == nil && m.isHung() {
+			sleep(ctx, machineStep)
+		}
+		if trouble.Deaf && status != 0 {
+			sleep(ctx, workerGivesUp-time.Since(sent))
+			status = 0
+		}
+		if time.Since(sent) > workerGivesUp {
+			status = 0
+		}
+		switch status {
+		case http.StatusOK:
+			m.take(answer, session, sent)
+			m.waitForNext(ctx, sent)
+		case http.StatusMisdirectedRequest:
+			var r protocol.Redirect
+			_ = protocol.Decode(answer, &r)
+			if next := slices.Index(m.nodes, r.Leader); next >= 0 && next != node {
+				node = next
+				sleep(ctx, time.Duration(m.random.Int64N(int64(workerLeast))))
+				continue
+			}
+			fallthrough
+		default:
+			node = (node + 1) % len(m.nodes)
+			sleep(ctx, workerNextNode)
+		}
+	}
+}
+
+// later brings a report to some controller from 2 s to well over a lease later.
+func (m *Machine) later(ctx context.Context, body []byte) {
+	m.mu.Lock()
+	wait := 2*time.Second + time.Duration(m.random.Int64N(int64(m.pace.Lease*3/2)))
+	node := m.nodes[m.random.IntN(len(m.nodes))]
+	m.mu.Unlock()
+	sleep(ctx, wait)
+	if ctx.Err() == nil {
+		m.post(ctx, node, body)
+	}
+}
+
+func (m *Machine) isHung() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hung()
+}
+
+func (m *Machine) post(ctx context.Context, node string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, workerGivesUp)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+UsersPort+protocol.PathReport, bytes.NewReader(body))
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// waitForNext waits until a report is due: at its time, or when something changes.
+func (m *Machine) waitForNext(ctx context.Context, sent time.Time) {
+	m.mu.Lock()
+	due := sent.Add(time.Duration(float64(m.pace.Report) * (0.75 + m.random.Float64()/2)))
+	m.mu.Unlock()
+	sleep(ctx, workerLeast-time.Since(sent))
+	for ctx.Err() == nil && time.Now().Before(due) {
+		m.mu.Lock()
+		ready := m.changed || m.gone
+		m.mu.Unlock()
+		if ready {
+			return
+		}
+		sleep(ctx, machineStep)
+	}
+}
+
+// take carries out the answer to a report.
+func (m *Machine) take(body []byte, session uint64, sent time.Time) {
+	var a protocol.ReportAnswer
+	if protocol.Decode(body, &a) != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone || session != m.session || a.Term < m.term || a.Term == 0 {
+		return
+	}
+	m.sees(a.Term)
+	m.leaseFrom = sent
+	m.execute(a.Commands)
+}
+
+func (m *Machine) sees(term uint64) {
+	if term > m.term {
+		m.term = term
+		if time.Since(m.termAt) > m.pace.Lease/2 {
+			m.termAt, m.changed = time.Now(), true
+		}
+	}
+}
+
+// serve takes direct commands.
+func (m *Machine) serve(w http.ResponseWriter, r *http.Request) {
+	raw, _ := io.ReadAll(r.Body)
+	var c protocol.DirectCommands
+	if protocol.Decode(raw, &c) != nil || c.Term == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	m.mu.Lock()
+	trouble := m.trouble
+	m.mu.Unlock()
+	if trouble.Deaf || trouble.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(trouble.Slow)
+	for m.isHung() {
+		time.Sleep(machineStep)
+	}
+	m.step()
+	m.mu.Lock()
+	status := http.StatusOK
+	if m.gone || c.Term < m.term || c.Session != m.session {
+		status = http.StatusConflict
+	} else {
+		m.sees(c.Term)
+		m.execute(c.Commands)
+	}
+	changed := m.changed
+	body := m.report()
+	m.changed = changed
+	m.mu.Unlock()
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (m *Machine) execute(commands []protocol.Command) {
+	for _, c := range commands {
+		t := m.tasks[c.Task]
+		switch c.Verb {
+		case protocol.Start:
+			m.launch(c, t)
+		case protocol.Stop:
+			if t != nil && t.attempt == c.Attempt && t.stage != "ended" {
+				if t.stage != "fetching" {
+					m.referee.Ended(t.job.ID, t.index, m.ID, false)
+				}
+				t.stage, t.cause, t.until, m.changed = "ended", protocol.CauseStopped, time.Time{}, true
+			}
+		case protocol.Forget:
+			if t != nil && t.attempt == c.Attempt && t.stage == "ended" {
+				delete(m.tasks, c.Task)
+			}
+		}
+	}
+}
+
+func (m *Machine) launch(c protocol.Command, t *machineTask) {
+	if t != nil && (t.attempt == c.Attempt || t.stage != "ended") {
+		return
+	}
+	id, num, _ := strings.Cut(c.Task, "/")
+	index, _ := strconv.Atoi(num)
+	job, known := m.referee.Job(id)
+	used := job.CPUs
+	for _, o := range m.tasks {
+		if o.stage != "ended" {
+			used += o.job.CPUs
+		}
+	}
+	m.changed = true
+	n := &machineTask{job: job, index: index, attempt: c.Attempt}
+	switch {
+	case !known || index >= job.Tasks:
+		n.stage, n.cause = "ended", protocol.CauseUnknown
+	case used > m.CPUs:
+		n.stage, n.cause = "ended", protocol.CauseNoRoom
+	default:
+		n.stage, n.until = "fetching", time.Now().Add(machineFetch)
+		n.left = job.Runs * time.Duration(index+1) / time.Duration(job.Tasks)
+	}
+	m.tasks[c.Task] = n
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -12,6 +12,20 @@
 	"dunestand/internal/units"
 )
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// dialTimeout is how long opening a connection may take.
+const dialTimeout = time.Second
+
+// or gives the machine's own network where no other is given.
+func (d DialFunc) or() DialFunc {
+	if d != nil {
+		return d
+	}
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext
+}
+
 // Client sends requests to one server over a few kept connections.
 type Client struct {
 	base string
@@ -20,10 +34,10 @@
 }
 
 // NewClient makes a client for the server at addr (IP:port). It opens at most
-// conns connections and reads answers of at most maxAnswer bytes.
-func NewClient(addr string, conns int, maxAnswer int64) *Client {
+// conns connections, by dial, and reads answers of at most maxAnswer bytes.
+func NewClient(dial DialFunc, addr string, conns int, maxAnswer int64) *Client {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dial.or(),
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     60 * time.Second,
@@ -45,8 +59,8 @@
 }
 
 // NewCaller makes a caller that reads answers of at most maxAnswer bytes.
-func NewCaller(maxAnswer int64) *Caller {
-	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true, DisableCompression: true}
+func NewCaller(dial DialFunc, maxAnswer int64) *Caller {
+	t := &http.Transport{DialContext: dial.or(), DisableKeepAlives: true, DisableCompression: true}
 	return &Caller{http: &http.Client{Transport: t}, most: maxAnswer}
 }
 
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -17,7 +17,6 @@
 const (
 	linkQueue    = 64 // frames waiting to be written
 	linkWorkers  = 64 // requests of one peer served at a time
-	linkDial     = time.Second
 	linkWrite    = 3 * time.Second
 	linkIdle     = 20 * time.Second // pings come far more often
 	redialFirst  = 100 * time.Millisecond
@@ -31,6 +30,7 @@
 // Link is a connection to one other controller, redialled when it fails. It
 // carries frames; pairing answers with requests is the caller's.
 type Link struct {
+	dial    DialFunc
 	addr    string
 	out     chan []byte
 	up      atomic.Bool
@@ -43,8 +43,8 @@
 
 // NewLink makes a link to addr. receive gets every frame; down is called when
 // the connection is lost.
-func NewLink(addr string, receive func([]byte), down func(), random *rand.Rand, log *slog.Logger) *Link {
-	return &Link{addr: addr, out: make(chan []byte, linkQueue), receive: receive, down: down, random: random, log: log}
+func NewLink(dial DialFunc, addr string, receive func([]byte), down func(), random *rand.Rand, log *slog.Logger) *Link {
+	return &Link{dial: dial.or(), addr: addr, out: make(chan []byte, linkQueue), receive: receive, down: down, random: random, log: log}
 }
 
 // Send queues a frame; it never waits.
@@ -71,7 +71,7 @@
 func (l *Link) Run(ctx context.Context) {
 	wait := redialFirst
 	for ctx.Err() == nil {
-		c, err := (&net.Dialer{Timeout: linkDial}).DialContext(ctx, "tcp", l.addr)
+		c, err := l.dial(ctx, "tcp", l.addr)
 		l.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 		if err == nil {
 			began := time.Now()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -67,7 +67,7 @@
 		}
 		return Response{Status: http.StatusOK, Body: append([]byte(r.ID+":"), r.Body...)}
 	})
-	c := NewClient(addr, 1, 1<<20)
+	c := NewClient(nil, addr, 1, 1<<20)
 	status, body, err := c.Do(t.Context(), http.MethodPost, "/echo/x", []byte("hello"), 5*units.Second)
 	if err != nil || status != http.StatusOK || string(body) != "x:hello" {
 		t.Fatalf("%d %q %v", status, body, err)
@@ -101,7 +101,7 @@
 		}
 		return Response{Status: http.StatusOK, Body: make([]byte, 5000)}
 	})
-	c := NewClient(addr, 2, 1000)
+	c := NewClient(nil, addr, 2, 1000)
 	if _, _, err := c.Do(t.Context(), http.MethodPost, "/echo/slow", []byte("x"), 50*units.Millisecond); err == nil {
 		t.Error("waited for ever")
 	}
@@ -153,7 +153,7 @@
 	go func() { _ = ServeMesh(ctx, l, log, handle) }()
 	got := make(chan string, 16)
 	lost := make(chan struct{}, 16)
-	link := NewLink(l.Addr().String(), func(f []byte) { got <- string(f) }, func() { lost <- struct{}{} }, rand.New(rand.NewPCG(1, 2)), log)
+	link := NewLink(nil, l.Addr().String(), func(f []byte) { got <- string(f) }, func() { lost <- struct{}{} }, rand.New(rand.NewPCG(1, 2)), log)
 	if link.Send([]byte("x")) == nil {
 		t.Fatal("sent before it was up")
 	}
--- /dev/null
+++ b/node/day_test.go
@@ -0,0 +1,417 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/standin"
+)
+
+// day is a few minutes of a small deployment: whole controllers, machines, users, a
+// state service and a cloud, on a clock of its own. Tests bring troubles about and
+// then ask the referee, which sees what machines do and users are told.
+type day struct {
+	t        *testing.T
+	ctx      context.Context
+	net      *standin.Network
+	referee  *standin.Referee
+	state    *standin.State
+	random   *rand.Rand
+	settings config.Fleet
+	began    time.Time
+
+	mu        sync.Mutex
+	nodes     []*controller
+	machines  []*standin.Machine
+	stateDown bool
+	stateSlow time.Duration
+	listSlow  time.Duration // for lists of keys alone
+	late      float64       // share of transactions that are carried out later, unanswered
+	cloudDown bool
+	users     int
+}
+
+// controller is one node and what keeps it from the others.
+type controller struct {
+	name    string
+	stop    context.CancelFunc
+	ended   chan struct{}
+	refused bool // by the state service
+}
+
+const (
+	portState = ":8001"
+	portMesh  = ":8002"
+	cloudAddr = "cloud:80"
+	dayNodes  = 3
+	dayCPUs   = 4.0 // of a machine
+	dayReport = time.Second
+	dayLease  = 10 * time.Second
+	dayCancel = 14 * time.Second
+)
+
+var dayZones = []string{"a", "b"}
+
+// plan is how a day differs from the usual one.
+type plan struct {
+	machines int     // in all, half of them in each zone
+	limit    float64 // processors of the team
+	cancel   time.Duration
+	seed     uint64
+}
+
+// play runs a day: the troubles, and then calm until no job may wait any more.
+func play(t *testing.T, p plan, troubles func(d *day)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		if p.machines == 0 {
+			p.machines = 6
+		}
+		if p.limit == 0 {
+			p.limit = dayCPUs * float64(p.machines)
+		}
+		if p.cancel == 0 {
+			p.cancel = dayCancel
+		}
+		d := &day{t: t, ctx: ctx, net: standin.NewNetwork(), referee: standin.NewReferee(p.limit, p.cancel), state: standin.NewState(),
+			random: rand.New(rand.NewPCG(p.seed, 7)), began: time.Now()}
+		d.settings = config.Fleet{Zones: dayZones, Teams: []config.Team{{Name: "team", CPUs: p.limit, CPUsMax: p.limit}},
+			Workers: config.Workers{ReportS: dayReport.Seconds(), LeaseS: dayLease.Seconds(), CancelS: p.cancel.Seconds()},
+			State:   config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 50, ListLagS: 1},
+			Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 400}}
+		cloud := standin.NewCloud(protocol.Catalog{Types: []protocol.MachineType{
+			{Name: "m", CPUs: dayCPUs, MemoryGB: 64, CacheGB: 10, FetchRate: 1, Price: 1, SpotPrice: 0.5, BootS: 1, Zones: dayZones}}}, p.machines)
+		cloud.Rented, cloud.Released = d.rented, d.released
+		d.serve(cloudAddr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if d.is(&d.cloudDown) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			cloud.ServeHTTP(w, r)
+		}))
+		for i := range dayNodes {
+			d.nodes = append(d.nodes, &controller{name: fmt.Sprintf("n-%d", i)})
+			d.serve(d.nodes[i].name+portState, d.stateFor(i))
+		}
+		for i := range d.nodes {
+			d.start(i)
+		}
+		go func() {
+			for ctx.Err() == nil {
+				d.referee.Look()
+				d.wait(100 * time.Millisecond)
+			}
+		}()
+		d.wait(20 * time.Second) // machines are rented and report
+		troubles(d)
+		d.calm()
+		d.wait(90 * time.Second)
+		if open := d.referee.Open(); len(open) > 0 {
+			t.Errorf("90 s after the troubles these jobs are not over: %v", open)
+		}
+		if d.referee.Starts() == 0 {
+			t.Error("nothing ran")
+		}
+		for _, b := range d.referee.Broken() {
+			t.Error(b)
+		}
+		cancel()
+		for i := range d.nodes {
+			d.end(i)
+		}
+		d.net.Close()
+		time.Sleep(time.Minute) // whatever still waits for something ends
+	})
+}
+
+func (d *day) wait(w time.Duration) {
+	select {
+	case <-d.ctx.Done():
+	case <-time.After(w):
+	}
+}
+
+func (d *day) is(what *bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return *what
+}
+
+func (d *day) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+}
+
+func (d *day) serve(addr string, h http.Handler) {
+	srv := &http.Server{Handler: h}
+	l := d.net.Listen(addr)
+	go func() { _ = srv.Serve(l) }()
+	context.AfterFunc(d.ctx, func() { _ = srv.Close() })
+}
+
+// stateFor is the state service as one controller meets it.
+func (d *day) stateFor(node int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		refused, slow, lists := d.stateDown || d.nodes[node].refused, d.stateSlow, d.listSlow
+		late := r.URL.Path == protocol.PathCommit && d.random.Float64() < d.late
+		after := 2*time.Second + time.Duration(d.random.Int64N(int64(10*time.Second)))
+		d.mu.Unlock()
+		switch {
+		case refused:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case late:
+			body, _ := io.ReadAll(r.Body)
+			var txn protocol.Txn
+			if protocol.Decode(body, &txn) == nil {
+				time.AfterFunc(after, func() { d.state.Apply(txn) })
+			}
+			panic(http.ErrAbortHandler)
+		default:
+			if r.URL.Path == protocol.PathKeys {
+				slow += lists
+			}
+			time.Sleep(5*time.Millisecond + slow)
+			d.state.ServeHTTP(w, r)
+		}
+	})
+}
+
+// start starts a controller.
+func (d *day) start(i int) {
+	name := func(k int, port string) string { return d.nodes[k].name + port }
+	s := &config.Settings{Node: d.nodes[i].name, Zone: dayZones[i%len(dayZones)], ClientListen: name(i, standin.UsersPort), MeshListen: name(i, portMesh),
+		Services: config.Services{Cloud: cloudAddr, State: name(i, portState)}, Fleet: d.settings}
+	for k := range d.nodes {
+		if k != i {
+			s.Others = append(s.Others, config.Peer{Node: d.nodes[k].name, Zone: dayZones[k%len(dayZones)], Endpoint: name(k, portMesh)})
+		}
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	done := make(chan struct{})
+	d.nodes[i].stop, d.nodes[i].ended = stop, done
+	n := New(s, Deps{Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)), Dial: d.net.Dialer(d.nodes[i].name),
+		Listen: func(_ context.Context, addr string) (net.Listener, error) { return d.net.Listen(addr), nil }})
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			d.t.Errorf("%s: %v", s.Node, err)
+		}
+	}()
+}
+
+func (d *day) end(i int) {
+	d.nodes[i].stop()
+	<-d.nodes[i].ended
+}
+
+// restart ends a controller; it is back after a while.
+func (d *day) restart(i int, after time.Duration) {
+	d.end(i)
+	d.wait(after)
+	d.start(i)
+}
+
+func (d *day) rented(m protocol.ListedMachine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for _, n := range d.nodes {
+		names = append(names, n.name)
+	}
+	machine := standin.NewMachine(standin.MachineInfo{ID: m.ID, Zone: m.Zone}, m.Type, m.Spot, dayCPUs,
+		standin.Pace{Report: dayReport, Lease: dayLease}, names, d.net, d.referee, rand.New(rand.NewPCG(d.random.Uint64(), 2)))
+	d.machines = append(d.machines, machine)
+	go machine.Run(d.ctx)
+}
+
+func (d *day) released(id string) {
+	for _, m := range d.all() {
+		if m.ID == id {
+			m.Kill()
+			d.mu.Lock()
+			d.machines = slices.DeleteFunc(d.machines, func(o *standin.Machine) bool { return o == m })
+			d.mu.Unlock()
+		}
+	}
+}
+
+// all lists the machines there are.
+func (d *day) all() []*standin.Machine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.machines)
+}
+
+// busy lists the machines with tasks on them.
+func (d *day) busy() []*standin.Machine {
+	return slices.DeleteFunc(d.all(), func(m *standin.Machine) bool { return m.Holds() == 0 })
+}
+
+// leader is the controller that names itself, by its metrics.
+func (d *day) leader() int {
+	for range 200 {
+		for i := range d.nodes {
+			if status, body := d.ask(i, http.MethodGet, "/metrics", nil); status == http.StatusOK && bytes.Contains(body, []byte("dunestand_term")) {
+				return i
+			}
+		}
+		d.wait(100 * time.Millisecond)
+	}
+	d.t.Fatal("nobody leads")
+	return 0
+}
+
+// ask sends a controller one request, as a user does.
+func (d *day) ask(node int, method, path string, body any) (int, []byte) {
+	status, raw, _ := d.askHeader(node, method, path, body)
+	return status, raw
+}
+
+func (d *day) askHeader(node int, method, path string, body any) (int, []byte, http.Header) {
+	ctx, cancel := context.WithTimeout(d.ctx, 2*time.Second)
+	defer cancel()
+	var r io.Reader
+	if body != nil {
+		r = bytes.NewReader(protocol.Encode(body))
+	}
+	req, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://n-%d%s%s", node, standin.UsersPort, path), r)
+	client := http.Client{Transport: &http.Transport{DialContext: d.net.Dialer("user"), DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, nil
+	}
+	return resp.StatusCode, raw, resp.Header
+}
+
+// told asks a controller about a job and has the referee hear the answer.
+func (d *day) told(node int, id string, repeat bool, method, path string, body any) (int, protocol.Stage) {
+	status, raw := d.ask(node, method, path, body)
+	var s protocol.JobState
+	_ = protocol.Decode(raw, &s)
+	d.referee.Answered(id, repeat, status, s.Stage)
+	return status, s.Stage
+}
+
+// job makes a user's job; its last task runs longest.
+func (d *day) job(tasks int, runs time.Duration) standin.JobInfo {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.users++
+	return standin.JobInfo{ID: fmt.Sprintf("j-%06d", d.users), Tasks: tasks, CPUs: 1, Runs: runs, Urgency: "normal"}
+}
+
+func described(j standin.JobInfo) map[string]any {
+	b := submission(j.ID, j.Tasks)
+	b["vcpus"], b["together"], b["apart"], b["urgency"], b["expect_s"] = j.CPUs, j.OneZone, j.Spread, j.Urgency, j.Runs.Seconds()
+	if j.Zone != "" {
+		b["yard"] = j.Zone
+	}
+	return b
+}
+
+// submit has a user submit a job until it is accepted, and then ask about it
+// until it is over.
+func (d *day) submit(j standin.JobInfo) {
+	d.t.Helper()
+	d.referee.Submitted(j)
+	first := d.random.IntN(dayNodes)
+	for try := 0; ; try++ {
+		if status, _ := d.told((first+try)%dayNodes, j.ID, false, http.MethodPost, "/submissions", described(j)); status == 200 || status == 201 {
+			break
+		} else if status == 400 || status == 422 {
+			d.t.Errorf("%s is refused: %d", j.ID, status)
+			return
+		}
+		d.wait(time.Second)
+	}
+	go func() {
+		for try := 0; d.ctx.Err() == nil && !d.referee.Told(j.ID).Final(); try++ {
+			d.wait(3 * time.Second)
+			d.told((first+try)%dayNodes, j.ID, false, http.MethodGet, "/submissions/"+j.ID, nil)
+		}
+	}()
+}
+
+// cancel has a user ask until the job is cancelled, or done.
+func (d *day) cancel(id string) {
+	d.referee.Asked(id)
+	go func() {
+		for try := 0; d.ctx.Err() == nil; try++ {
+			if status, stage := d.told((d.users+try)%dayNodes, id, false, http.MethodPost, "/submissions/"+id+"/cancel", nil); status == 200 && stage.Final() {
+				return
+			}
+			d.wait(time.Second)
+		}
+	}()
+}
+
+// calm ends all troubles.
+func (d *day) calm() {
+	d.set(func() {
+		d.stateDown, d.cloudDown, d.stateSlow, d.listSlow, d.late = false, false, 0, 0, 0
+		for _, n := range d.nodes {
+			n.refused = false
+		}
+	})
+	for i := range d.nodes {
+		d.cutPeers(i, false)
+		d.cutWorkers(i, false, func(*standin.Machine) bool { return true })
+	}
+	for _, m := range d.all() {
+		m.Set(standin.Trouble{})
+		m.Hang(0)
+	}
+}
+
+// refuse has the state service refuse one controller, or serve it again.
+func (d *day) refuse(node int, refused bool) { d.set(func() { d.nodes[node].refused = refused }) }
+
+// outage has the state service refuse everybody, or serve them again.
+func (d *day) outage(down bool) { d.set(func() { d.stateDown = down }) }
+
+// cutPeers separates a controller from the others, or joins it again.
+func (d *day) cutPeers(node int, cut bool) {
+	for k := range d.nodes {
+		if k != node {
+			d.net.Cut(d.nodes[node].name, d.nodes[k].name+portMesh, cut)
+			d.net.Cut(d.nodes[k].name, d.nodes[node].name+portMesh, cut)
+		}
+	}
+}
+
+// cutWorkers separates a controller from some machines, or joins them again.
+func (d *day) cutWorkers(node int, cut bool, which func(m *standin.Machine) bool) {
+	for _, m := range d.all() {
+		if which(m) {
+			d.net.Cut(m.ID, d.nodes[node].name+standin.UsersPort, cut)
+			d.net.Cut(d.nodes[node].name, m.Endpoint(), cut)
+		}
+	}
+}
+
+// trouble puts machines into a trouble.
+func trouble(machines []*standin.Machine, t standin.Trouble) {
+	for _, m := range machines {
+		m.Set(t)
+	}
+}
--- /dev/null
+++ b/node/meetings_test.go
@@ -0,0 +1,557 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/standin"
+)
+
+// One test for each meeting of troubles that has broken a rule on real machines. What
+// must never happen is the referee's to say; each test says what it brings about.
+
+const long = 300 * time.Second // of a task that ends only by cancellation
+
+// An ordinary day, so that what the others find is not the day's own doing.
+func TestQuietDay(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		for range 4 {
+			d.submit(d.job(6, 8*time.Second))
+		}
+		d.wait(30 * time.Second)
+	})
+}
+
+// running submits jobs whose tasks have long to go, and waits until they run.
+func (d *day) running(jobs, tasks int) []standin.JobInfo {
+	d.t.Helper()
+	var out []standin.JobInfo
+	for range jobs {
+		j := d.job(tasks, long)
+		d.submit(j)
+		out = append(out, j)
+	}
+	d.until("the tasks run", func() bool {
+		on := 0
+		for _, j := range out {
+			on += d.referee.On(j.ID)
+		}
+		return on == jobs*tasks
+	})
+	return out
+}
+
+func (d *day) until(what string, good func() bool) {
+	d.t.Helper()
+	for range 600 {
+		if good() {
+			return
+		}
+		d.wait(100 * time.Millisecond)
+	}
+	d.t.Fatalf("not after a minute: %s", what)
+}
+
+// confirm has a user's cancellation confirmed by one controller, and tells whether
+// it was.
+func (d *day) confirm(node int, id string) bool {
+	d.referee.Asked(id)
+	status, stage := d.told(node, id, false, http.MethodPost, "/submissions/"+id+"/cancel", nil)
+	return status == 200 && stage == protocol.StageCancelled
+}
+
+// The state service refuses the leader alone, users cancel, and then it is down for
+// all for longer than cancel_s while workers report to the old leader. Whoever
+// confirms a cancellation, in whichever second, the tasks are gone in time.
+func TestGap(t *testing.T) {
+	confirmed := 0
+	for i, after := range []time.Duration{200 * time.Millisecond, time.Second, 2500 * time.Millisecond, 3600 * time.Millisecond,
+		4 * time.Second, 4500 * time.Millisecond, 6 * time.Second, 9 * time.Second} {
+		play(t, plan{seed: uint64(i)}, func(d *day) {
+			jobs := d.running(6, 3)
+			leader := d.leader()
+			d.cancel(jobs[0].ID)
+			d.refuse(leader, true)
+			for _, j := range jobs[1:] {
+				d.cancel(j.ID)
+			}
+			d.wait(after)
+			d.outage(true)
+			d.wait(dayCancel + 12*time.Second)
+			d.refuse(leader, false)
+			d.outage(false)
+			d.wait(20 * time.Second)
+			confirmed += d.referee.Confirmed()
+		})
+	}
+	if confirmed < 20 {
+		t.Errorf("only %d cancellations were confirmed", confirmed)
+	}
+}
+
+// A new leader cannot read the records for longer than cancel_s, though it holds its
+// lease: it knows of no cancellation that its predecessor confirmed, and must not keep
+// the machines at work.
+func TestLeaderThatCannotRestore(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		jobs := d.running(3, 6)
+		leader := d.leader()
+		for _, j := range jobs {
+			if !d.confirm(leader, j.ID) {
+				t.Error("the cancellation was not confirmed")
+			}
+		}
+		d.end(leader)
+		d.set(func() { d.listSlow = 4 * time.Second })
+		d.wait(2 * dayCancel)
+		d.set(func() { d.listSlow = 0 })
+		d.start(leader)
+		d.wait(10 * time.Second)
+	})
+}
+
+// Copies of reports arrive again up to well over a lease later, from earlier sessions
+// and attempts too, while leaders change and machines lose their leases.
+func TestOldReportsArrive(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		trouble(d.all(), standin.Trouble{Copied: 0.7})
+		for i := range 6 {
+			d.submit(d.job(6, 20*time.Second))
+			if i%2 == 1 {
+				d.restart(d.leader(), 300*time.Millisecond)
+			}
+			d.all()[i%len(d.all())].Hang(dayLease + time.Second)
+			d.wait(9 * time.Second)
+		}
+	})
+}
+
+// The leader loses the state service and the other controllers; workers and users
+// still reach it, and jobs are cancelled through the new one.
+func TestLeaderCutOffWithItsWorkers(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		jobs := d.running(4, 4)
+		old := d.leader()
+		d.refuse(old, true)
+		d.cutPeers(old, true)
+		d.wait(4500 * time.Millisecond)
+		for _, j := range jobs {
+			d.cancel(j.ID)
+		}
+		d.submit(d.job(6, 5*time.Second))
+		d.wait(dayCancel + 10*time.Second)
+		if d.referee.Confirmed() != len(jobs) {
+			t.Errorf("%d of %d cancellations are confirmed", d.referee.Confirmed(), len(jobs))
+		}
+	})
+}
+
+// Jobs bound to one zone lose machines, by death, by silence and by a cut.
+func TestOneZoneJobsLoseMachines(t *testing.T) {
+	play(t, plan{machines: 8}, func(d *day) {
+		for i := range 6 {
+			j := d.job(5, 15*time.Second)
+			j.OneZone, j.Spread = i%3 == 0, i%3 == 1
+			if i%3 == 2 {
+				j.Zone = dayZones[i%2]
+			}
+			d.submit(j)
+		}
+		d.wait(3 * time.Second)
+		for i, m := range d.busy() {
+			switch i % 4 {
+			case 0:
+				m.Set(standin.Trouble{Cut: true})
+			case 1:
+				m.Hang(7 * time.Second)
+			}
+		}
+		d.restart(d.leader(), time.Second)
+		d.wait(30 * time.Second)
+	})
+}
+
+// There is more work than room, urgent and not, and everything is slow.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	play(t, plan{machines: 4}, func(d *day) {
+		d.set(func() { d.stateSlow = 150 * time.Millisecond })
+		trouble(d.all(), standin.Trouble{Slow: 900 * time.Millisecond, Held: 0.2})
+		for i := range 8 {
+			j := d.job(8, 6*time.Second)
+			j.Urgency = []string{"low", "normal", "high", "prod"}[i%4]
+			d.submit(j)
+			d.wait(time.Second)
+		}
+		d.wait(20 * time.Second)
+	})
+}
+
+// A cancellation, a question and a repeated submission meet the end of a job's last
+// task, from shortly before to shortly after.
+func TestRequestsMeetTheEnd(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		for i := range 16 {
+			j := d.job(1+i%3, 3*time.Second)
+			d.submit(j)
+			d.until("it runs", func() bool { return d.referee.On(j.ID) > 0 })
+			d.until("its last task ends", func() bool { return d.referee.On(j.ID) == 0 })
+			d.wait(time.Duration(i) * 40 * time.Millisecond)
+			d.referee.Asked(j.ID)
+			for k, ask := range []func(){
+				func() {
+					d.told(i%dayNodes, j.ID, false, http.MethodPost, "/submissions/"+j.ID+"/cancel", nil)
+				},
+				func() { d.told((i+1)%dayNodes, j.ID, false, http.MethodGet, "/submissions/"+j.ID, nil) },
+				func() { d.told((i+2)%dayNodes, j.ID, true, http.MethodPost, "/submissions", described(j)) },
+			} {
+				if k != i%4 {
+					ask()
+				}
+			}
+		}
+	})
+}
+
+// A leader ends while machines with long tasks can't be reached, or hear no answer.
+// What they held begins elsewhere once their leases are over, though they report on.
+func TestLeaderEndsWhileMachinesAreDeaf(t *testing.T) {
+	for _, share := range []int{2, 1} { // one of so many machines
+		play(t, plan{seed: uint64(share)}, func(d *day) {
+			j := d.job(8, 20*time.Second)
+			d.submit(j)
+			d.until("it runs", func() bool { return d.referee.On(j.ID) == 8 })
+			for i, m := range d.busy() {
+				if i%share == 0 {
+					m.Set(standin.Trouble{Deaf: i%4 != 2, Mute: i%4 == 2})
+				}
+			}
+			d.restart(d.leader(), 2*time.Second)
+			d.wait(3 * dayLease)
+			if share > 1 && d.referee.On(j.ID) == 0 && d.referee.Told(j.ID) != protocol.StageDone {
+				t.Error("the machines that hear have room, and nothing runs")
+			}
+		})
+	}
+}
+
+// Leaders change ten times in two minutes, inside an outage too, with cancellations
+// between.
+func TestTenLeadersInTwoMinutes(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		jobs := d.running(3, 2)
+		for i := range 10 {
+			d.submit(d.job(3, 20*time.Second))
+			if i == 4 || i == 7 {
+				d.outage(true)
+			}
+			d.restart(d.leaderIfAny(i), time.Duration(i)*300*time.Millisecond)
+			if i < len(jobs) {
+				d.cancel(jobs[i].ID)
+			}
+			d.wait(8 * time.Second)
+			d.outage(false)
+		}
+	})
+}
+
+// A zone with workers and a controller, the leader or another one, is cut off for
+// longer than lease_s.
+func TestZoneCutOff(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		play(t, plan{}, func(d *day) {
+			jobs := d.running(2, 4)
+			d.submit(d.job(8, 25*time.Second))
+			cut := d.leader()
+			if !leads {
+				cut = (cut + 1) % dayNodes
+			}
+			zone := dayZones[cut%len(dayZones)]
+			inside := func(m *standin.Machine) bool { return m.Zone == zone }
+			outside := func(m *standin.Machine) bool { return m.Zone != zone }
+			d.refuse(cut, true)
+			d.cutPeers(cut, true)
+			d.cutWorkers(cut, true, outside)
+			for i := range d.nodes {
+				if i != cut {
+					d.cutWorkers(i, true, inside)
+				}
+			}
+			d.cancel(jobs[0].ID)
+			d.wait(5 * time.Second)
+			d.cancel(jobs[1].ID)
+			d.wait(2 * dayLease)
+			for i := range d.nodes {
+				d.cutWorkers(i, false, func(*standin.Machine) bool { return true })
+			}
+			d.refuse(cut, false)
+			d.cutPeers(cut, false)
+			d.wait(5 * time.Second)
+		})
+	}
+}
+
+// A team is at its limit when the leader changes, some of its machines can't be
+// asked, and a cancellation falls into that spell.
+func TestTeamAtItsLimit(t *testing.T) {
+	play(t, plan{machines: 8, limit: 10}, func(d *day) {
+		jobs := d.running(2, 5)
+		d.submit(d.job(6, 5*time.Second))
+		for i, m := range d.busy() {
+			if i%2 == 0 {
+				m.Set(standin.Trouble{Deaf: i%4 == 0, Mute: i%4 != 0})
+			}
+		}
+		leader := d.leader()
+		d.end(leader)
+		d.cancel(jobs[0].ID)
+		d.wait(6 * time.Second)
+		d.cancel(jobs[1].ID)
+		d.wait(4 * time.Second)
+		d.start(leader)
+		d.wait(2 * dayLease)
+	})
+}
+
+// Jobs of two or three tasks end far apart across changes of the leader.
+func TestTasksEndAcrossLeaders(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		for i := range 6 {
+			d.submit(d.job(2+i%2, 45*time.Second))
+		}
+		for i := range 4 {
+			d.wait(9 * time.Second)
+			leader := d.leader()
+			if i%2 == 0 {
+				d.all()[i%len(d.all())].Hang(6 * time.Second)
+			}
+			d.restart(leader, time.Duration(i)*time.Second)
+		}
+		d.wait(10 * time.Second)
+	})
+}
+
+// Controllers end and are back within a fraction of a second, in the midst of an
+// election too; all end, and one returns before the others.
+func TestControllersReturnAtOnce(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		trouble(d.all(), standin.Trouble{Copied: 0.3, Held: 0.1})
+		for round := range 4 {
+			d.submit(d.job(5, 12*time.Second))
+			leader := d.leader()
+			d.restart(leader, 100*time.Millisecond)
+			d.restart(leader, time.Duration(round)*400*time.Millisecond)
+			d.wait(4 * time.Second)
+			for i := range d.nodes {
+				d.end(i)
+			}
+			d.wait(time.Duration(round) * 700 * time.Millisecond)
+			d.start(round % dayNodes)
+			d.wait(2 * time.Second)
+			for i := range d.nodes {
+				if i != round%dayNodes {
+					d.start(i)
+				}
+			}
+			d.wait(5 * time.Second)
+		}
+	})
+}
+
+// Reports are held back until a new leader has acted, and then arrive there.
+func TestReportsHeldBackUntilANewLeaderActs(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		for i := range 5 {
+			d.submit(d.job(6, 14*time.Second))
+			d.wait(3 * time.Second)
+			trouble(d.all(), standin.Trouble{Held: 0.8})
+			d.wait(2 * time.Second)
+			d.restart(d.leader(), time.Duration(i)*time.Second)
+			trouble(d.all(), standin.Trouble{})
+			d.wait(10 * time.Second)
+		}
+	})
+}
+
+// Transactions get no answer and are carried out late, after newer ones.
+func TestTransactionsCarriedOutLate(t *testing.T) {
+	for seed := range uint64(3) {
+		play(t, plan{seed: seed}, func(d *day) {
+			jobs := d.running(3, 2)
+			d.set(func() { d.late = 0.3 })
+			for i := range 6 {
+				j := d.job(4, 10*time.Second)
+				go d.submit(j)
+				if i < len(jobs) {
+					d.cancel(jobs[i].ID)
+				}
+				d.wait(5 * time.Second)
+				if i == 3 {
+					d.restart(d.leaderIfAny(i), time.Second)
+				}
+			}
+		})
+	}
+}
+
+// Workers can't open connections to any controller, while direct commands reach them.
+func TestMuteMachines(t *testing.T) {
+	for _, share := range []int{3, 1} {
+		play(t, plan{seed: uint64(share)}, func(d *day) {
+			jobs := d.running(2, 4)
+			d.submit(d.job(8, 20*time.Second))
+			for i, m := range d.all() {
+				if i%share == 0 {
+					m.Set(standin.Trouble{Mute: true})
+				}
+			}
+			d.cancel(jobs[0].ID)
+			d.wait(3 * time.Second)
+			d.restart(d.leaderIfAny(0), time.Second)
+			d.cancel(jobs[1].ID)
+			d.wait(2*dayLease + 5*time.Second)
+		})
+	}
+}
+
+// Commands are held up for seconds, machines hang at the moment at which their jobs
+// are cancelled, and then go on. Many hang at once and for longer than cancel_s: what
+// they hold is cancelled and must be gone, and they do not count as a zone that is
+// cut off.
+func TestMachinesHangWithCancelledTasks(t *testing.T) {
+	for _, hang := range []time.Duration{6 * time.Second, dayLease - time.Second, dayCancel + 12*time.Second} {
+		play(t, plan{machines: 8}, func(d *day) {
+			jobs := d.running(4, 6)
+			d.submit(d.job(4, 10*time.Second))
+			trouble(d.all(), standin.Trouble{Slow: 3 * time.Second})
+			for _, j := range jobs {
+				d.cancel(j.ID)
+			}
+			for i, m := range d.busy() {
+				if i%2 == 0 {
+					m.Hang(hang)
+				}
+			}
+			d.wait(dayCancel + 15*time.Second)
+		})
+	}
+}
+
+// The state service answers slowly, then refuses the leader alone, then everybody for
+// longer than cancel_s, while users cancel and ask.
+func TestSlowStateAndOutages(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		jobs := d.running(6, 2)
+		d.set(func() { d.stateSlow = 700 * time.Millisecond })
+		d.cancel(jobs[0].ID)
+		d.wait(4 * time.Second)
+		d.cancel(jobs[1].ID)
+		leader := d.leaderIfAny(0)
+		d.refuse(leader, true)
+		d.cancel(jobs[2].ID)
+		d.wait(6 * time.Second)
+		d.cancel(jobs[3].ID)
+		d.outage(true)
+		d.cancel(jobs[4].ID)
+		d.wait(dayCancel + 5*time.Second)
+		d.set(func() { d.stateSlow = 0 })
+		d.outage(false)
+		d.cancel(jobs[5].ID)
+		d.wait(10 * time.Second)
+	})
+}
+
+// All controllers are away for longer than lease_s.
+func TestAllControllersAway(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		jobs := d.running(2, 3)
+		d.submit(d.job(8, 20*time.Second))
+		d.wait(2 * time.Second)
+		if !d.confirm(d.leader(), jobs[0].ID) {
+			t.Error("the cancellation was not confirmed")
+		}
+		for i := range d.nodes {
+			d.end(i)
+		}
+		d.wait(dayLease + 5*time.Second)
+		for i := range d.nodes {
+			d.start(i)
+		}
+		d.cancel(jobs[1].ID)
+		d.wait(5 * time.Second)
+	})
+}
+
+// Most machines hear no answers for longer than their lease. Once they do again, they
+// get work, though they were thought to carry nothing out.
+func TestDeafFleetRecovers(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		for range 4 {
+			d.submit(d.job(6, 30*time.Second))
+		}
+		d.wait(4 * time.Second)
+		trouble(d.all(), standin.Trouble{Deaf: true})
+		d.wait(3 * dayLease)
+	})
+}
+
+// Repeats of unfinished jobs, with other contents or lacking a field too, are the
+// known job; cancelling what is done answers done; what fits no machine or lacks a
+// field is refused, by every controller.
+func TestOddRequests(t *testing.T) {
+	play(t, plan{}, func(d *day) {
+		j, over := d.job(3, 60*time.Second), d.job(1, time.Second)
+		d.submit(j)
+		d.submit(over)
+		d.until("it is done", func() bool { return d.referee.Told(over.ID) == protocol.StageDone })
+		check := func(when string, alone bool) {
+			for node := range d.nodes {
+				other := described(j)
+				other["bolts"], other["crew"] = 7, "nobody"
+				lacking := described(j)
+				delete(lacking, "vcpus")
+				for _, body := range []map[string]any{described(j), other, lacking} {
+					if status, _ := d.told(node, j.ID, true, http.MethodPost, "/submissions", body); status != 200 && !alone {
+						t.Errorf("%s: a repeat is answered %d by n-%d", when, status, node)
+					}
+				}
+				if status, stage := d.told(node, over.ID, false, http.MethodPost, "/submissions/"+over.ID+"/cancel", nil); !alone && (status != 200 || stage != protocol.StageDone) {
+					t.Errorf("%s: cancelling a job that is done: %d %s", when, status, stage)
+				}
+				if status, _ := d.ask(node, http.MethodPost, "/submissions/j-999999/cancel", nil); !alone && status != 404 {
+					t.Errorf("%s: cancelling an unknown job: %d", when, status)
+				}
+				for i, change := range []func(map[string]any){
+					func(b map[string]any) { b["vcpus"] = 64.0 }, func(b map[string]any) { b["looms"] = []string{"none"} },
+					func(b map[string]any) { b["yard"] = "nowhere" }, func(b map[string]any) { b["crew"] = "nobody" },
+					func(b map[string]any) { delete(b, "bolts") }, func(b map[string]any) { delete(b, "urgency") },
+					func(b map[string]any) { delete(b, "together") }, func(b map[string]any) { delete(b, "memory_gb") },
+				} {
+					bad := submission(fmt.Sprintf("j-8%02d%02d", node, i), 1)
+					change(bad)
+					want := 422
+					if i >= 4 {
+						want = 400
+					}
+					if status, _ := d.ask(node, http.MethodPost, "/submissions", bad); status == 200 || status == 201 || !alone && status != want {
+						t.Errorf("%s: n-%d answers %d to bad submission %d", when, node, status, i)
+					}
+				}
+			}
+		}
+		check("with a leader", false)
+		d.refuse(d.leader(), true)
+		d.wait(2 * time.Second)
+		check("without a leader", true)
+	})
+}
+
+// leaderIfAny is the leader, or any controller where none may lead now.
+func (d *day) leaderIfAny(otherwise int) int {
+	if d.is(&d.stateDown) {
+		return otherwise % dayNodes
+	}
+	return d.leader()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	Log    *slog.Logger
 	Policy *config.Policy
 	Listen func(ctx context.Context, addr string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Node is one controller.
@@ -89,5 +90,5 @@
 	}
 	defer mesh.Close()
 	d.Log.Info("node starts", "node", s.Node, "zone", s.Zone, "clients", s.ClientListen, "mesh", s.MeshListen)
-	return coordination.NewController(s, d.Policy, d.Clock, d.Random, d.Log).Run(ctx, clients, mesh)
+	return coordination.NewController(s, coordination.Environment{Policy: d.Policy, Clock: d.Clock, Random: d.Random, Log: d.Log, Dial: d.Dial}).Run(ctx, clients, mesh)
 }
