--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -131,6 +131,44 @@
 	}
 }
 
+// A machine that was thought deaf is told nothing any more, so no command can show
+// that it hears again. Its session does: without an answer it would begin another one
+// within its lease. Where too many were deaf for any to be returned, they would else
+// never get work again, with jobs waiting.
+func TestDeafMachineHearsAgain(t *testing.T) {
+	term, clock := guardTerm(t, 8)
+	const id = "i-000000"
+	seq := uint64(0)
+	report := func(session uint64) *bookkeeping.Machine {
+		seq++
+		term.exchange(beat(id, session, seq, 7))
+		return term.ledger.Machines[id]
+	}
+	for range 10 {
+		report(1)
+	}
+	m := report(1)
+	if m.Unheard < deafAfter {
+		t.Fatal("the machine is not thought deaf")
+	}
+	// Deaf still: a new session each lease.
+	for session := uint64(2); session < 5; session++ {
+		for range 8 {
+			clock.now += modelLease / 8
+			if report(session); m.Unheard < deafAfter {
+				t.Fatal("a machine that begins a new session with each lease is thought to hear")
+			}
+		}
+	}
+	for range 12 {
+		clock.now += modelLease / 8
+		if report(4); m.Unheard == 0 && term.accepts(m, clock.now) {
+			return
+		}
+	}
+	t.Error("a machine that stays in its session beyond its lease is thought deaf")
+}
+
 // A machine that hears some of its answers is not deaf.
 func TestLostAnswerIsForgiven(t *testing.T) {
 	term, clock := guardTerm(t, 8)
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -33,6 +33,7 @@
 
 const (
 	modelLease   = 10 * units.Second
+	modelCancel  = 11 * units.Second
 	workerWaits  = 4 * units.Second
 	modelLimit   = 9 // processors of the team
 	modelMachine = 4 // processors of a machine
@@ -41,7 +42,7 @@
 func modelSettings() *config.Settings {
 	return &config.Settings{Node: "n", Fleet: config.Fleet{Zones: []string{"a"},
 		Teams:     []config.Team{{Name: "team", CPUs: 4, CPUsMax: modelLimit}},
-		Workers:   config.Workers{ReportS: 1, LeaseS: modelLease.Seconds(), CancelS: 30},
+		Workers:   config.Workers{ReportS: 1, LeaseS: modelLease.Seconds(), CancelS: modelCancel.Seconds()},
 		State:     config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}},
 		Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 100}}}
 }
@@ -122,8 +123,12 @@
 	answer        *protocol.ReportAnswer // on its way
 	reportSession uint64
 	deaf          bool // its reports arrive, answers do not reach it
+	mute          bool // it reaches no controller; direct commands reach it
+	hungUntil     units.Micros
 }
 
+func (m *model) hung(w *modelWorker) bool { return m.clock.now < w.hungUntil }
+
 // told is a worker's answer to an announcement, on its way.
 type told struct {
 	to     *Term
@@ -150,7 +155,9 @@
 	arrivals  []protocol.Txn // jobs on their way to the inbox
 	nodes     []modelNode
 	services  map[string]bool
-	calm      bool // all troubles are over
+	calm      bool                    // all troubles are over
+	repeats   []protocol.Txn          // transactions that were carried out
+	confirmed map[string]units.Micros // when a user could be told that a job is cancelled
 }
 
 // modelNode is a controller.
@@ -347,7 +354,7 @@
 }
 
 func (m *model) report() {
-	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && !w.awaited {
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && !w.awaited && !w.mute && !m.hung(w) {
 		m.reportOf(w)
 	}
 }
@@ -407,7 +414,7 @@
 
 // deliver brings a worker the answer it waits for, or lets it give up.
 func (m *model) deliver() {
-	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && w.awaited {
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && w.awaited && !m.hung(w) {
 		m.deliverTo(w)
 	}
 }
@@ -458,7 +465,9 @@
 }
 
 func (m *model) work() {
-	m.workOn(rapid.SampledFrom(m.workers).Draw(m.t, "worker"))
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); !m.hung(w) {
+		m.workOn(w)
+	}
 }
 
 func (m *model) workOn(w *modelWorker) {
@@ -487,7 +496,7 @@
 
 // leaseOf lets a worker begin its next session when its lease has run out.
 func (m *model) leaseOf(w *modelWorker) {
-	if w.alive && m.clock.now-w.leaseFrom > modelLease {
+	if w.alive && !m.hung(w) && m.clock.now-w.leaseFrom > modelLease {
 		w.session++
 		w.leaseFrom = m.clock.now
 		clear(w.tasks)
@@ -527,14 +536,35 @@
 		m.save = nil
 		return
 	}
+	if m.save.Probe() != "" {
+		m.repeats = append(m.repeats, m.save.Txn)
+	}
 	for id, f := range l.Applied(m.save, rev) {
 		m.over(id, f)
 	}
 	m.save = nil
 }
 
+// repeat carries a transaction out late, once more: its first sending had no answer,
+// and newer ones came between. It must have no effect.
+func (m *model) repeat() {
+	if len(m.repeats) == 0 {
+		return
+	}
+	txn := rapid.SampledFrom(m.repeats).Draw(m.t, "carried out late")
+	if !m.store.takes(txn) {
+		return
+	}
+	if _, failed := m.store.commit(m.t, txn); len(failed) == 0 {
+		m.t.Fatal("a transaction was carried out twice")
+	}
+}
+
 func (m *model) over(id string, f bookkeeping.Final) {
 	m.finals[id] = f.Stage
+	if m.confirmed[id] != 0 && f.Stage != protocol.StageCancelled {
+		m.t.Fatalf("%s was called cancelled, and is now %s", id, f.Stage)
+	}
 	if m.services[id] && f.Stage != protocol.StageCancelled {
 		m.t.Fatalf("the service %s is called %s", id, f.Stage)
 	}
@@ -614,6 +644,11 @@
 }
 
 func (m *model) check() {
+	for id, j := range m.leader.ledger.Jobs {
+		if m.confirmed[id] == 0 && cancelled(j, m.leader.Settings.Fleet.Workers) {
+			m.confirmed[id] = m.clock.now
+		}
+	}
 	used := 0
 	for _, w := range m.workers {
 		if !w.alive {
@@ -624,6 +659,9 @@
 			if task.stage == protocol.TaskExited {
 				continue
 			}
+			if at := m.confirmed[k.job]; at != 0 && m.clock.now-at > modelCancel && !m.hung(w) {
+				m.t.Fatalf("%s/%d is on %s %v after its user was told", k.job, k.index, w.id, (m.clock.now - at).Duration())
+			}
 			need := m.need(k.job)
 			used += need
 			onMachine += need
@@ -640,7 +678,7 @@
 // announce tells a worker the term; its answer may come late.
 func (m *model) announce() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
-	if !w.alive || w.deaf {
+	if !w.alive || w.deaf || m.hung(w) {
 		return
 	}
 	w.token = m.leader.number
@@ -684,12 +722,50 @@
 	w.deaf = !w.deaf
 }
 
+// silence keeps a worker's reports from all controllers, or ends that.
+func (m *model) silence() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	w.mute = !w.mute
+}
+
+// hang stops a worker for a while, and cancels a job that runs there.
+func (m *model) hang() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	w.hungUntil = m.clock.now + units.Micros(rapid.IntRange(500, 15000).Draw(m.t, "hangs ms"))*units.Millisecond
+	m.cancelOn(w)
+}
+
+// cancelAtEnd cancels a job at the moment at which a task of it may end.
+func (m *model) cancelAtEnd() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if m.hung(w) {
+		return
+	}
+	if rapid.Bool().Draw(m.t, "ends before") {
+		m.workOn(w)
+		m.cancelOn(w)
+	} else {
+		m.cancelOn(w)
+		m.workOn(w)
+	}
+}
+
+// cancelOn cancels a job that a worker holds.
+func (m *model) cancelOn(w *modelWorker) {
+	for _, k := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index }) {
+		if j := m.leader.ledger.Jobs[k.job]; j != nil && j.Accepted() && m.jobs[k.job]%2 == 0 {
+			m.leader.cancelJob(j)
+			return
+		}
+	}
+}
+
 // settle ends all troubles and plays on until every accepted job that was not
 // cancelled is done. Nothing may be forgotten, and nothing may wait for ever.
 func (m *model) settle() {
 	m.calm = true
 	for _, w := range m.workers {
-		w.deaf = false
+		w.deaf, w.mute, w.hungUntil = false, false, 0
 	}
 	m.finishUpgrade()
 	m.land()
@@ -766,8 +842,8 @@
 func TestRandomDaysKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{t: t, clock: &manualClock{now: units.Second}, nodes: make([]modelNode, 3), services: map[string]bool{},
-			store: &modelStore{items: map[string]protocol.Item{}, limits: config.State{ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}}},
-			jobs:  map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
+			store:     &modelStore{items: map[string]protocol.Item{}, limits: config.State{ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}}},
+			confirmed: map[string]units.Micros{}, jobs: map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
 		// Some days begin with far more machines than the team can use.
 		for range rapid.SampledFrom([]int{2, 2, 2, 2, 16}).Draw(t, "machines") {
 			m.workers = append(m.workers, m.newWorker())
@@ -780,8 +856,8 @@
 		}
 		m.begin()
 		actions := []func(){m.submit, m.report, m.report, m.report, m.deliver, m.deliver, m.deliver, m.work, m.work,
-			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall}
-		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22, 23, 23, 23, 23, 23, 23, 24, 24, 24, 25}
+			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall, m.silence, m.hang, m.cancelAtEnd, m.repeat}
+		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22, 23, 23, 23, 23, 23, 23, 24, 24, 24, 25, 26, 26, 27, 27, 28, 28, 29}
 		for range rapid.IntRange(50, 250).Draw(t, "steps") {
 			actions[rapid.SampledFrom(weights).Draw(t, "action")]()
 			m.check()
