--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -30,6 +30,7 @@
 	Stage   AttemptStage
 
 	SentSeq      uint64 // the report in whose answer the start was sent
+	SeenSeq      uint64 // the last report that showed it
 	Assigned     units.Micros
 	RunningSince units.Micros
 	Stop         bool         // it is to be stopped
--- a/internal/coordination/announce_test.go
+++ b/internal/coordination/announce_test.go
@@ -23,7 +23,7 @@
 	j := term.ledger.Jobs["j-000001"]
 	const last = "i-000099"
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(beatBody(beat(last, 1, 1, term.number)))
+		_, _ = w.Write(beatBody(beat(last, 1, 1, term.number), nil))
 	}))
 	defer worker.Close()
 	doubt := func(id, endpoint string) {
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -93,10 +93,14 @@
 		defer cancel()
 		go func() { _ = c.server.Serve(ctx, l) }()
 		client := transport.NewClient(nil, l.Addr().String(), 1, protocol.MaxBody)
+		bolts := map[string]protocol.Raw{}
 		for i := 0; b.Loop(); i++ {
 			r := reports[i%len(reports)]
 			r.Seq += 10
-			status, _, err := client.Do(ctx, http.MethodPost, protocol.PathReport, beatBody(r), 5*units.Second)
+			if bolts[r.Machine] == nil {
+				bolts[r.Machine] = listOf(r)
+			}
+			status, _, err := client.Do(ctx, http.MethodPost, protocol.PathReport, beatBody(r, bolts[r.Machine]), 5*units.Second)
 			if err != nil || status != http.StatusOK {
 				b.Fatal(status, err)
 			}
@@ -104,12 +108,17 @@
 	})
 }
 
-// beatBody is a report as a worker sends it.
-func beatBody(r *protocol.Report) []byte {
+// listOf is a report's list of tasks as a worker sends it.
+func listOf(r *protocol.Report) protocol.Raw {
 	bolts := make([]map[string]any, len(r.Tasks))
 	for i, k := range r.Tasks {
 		bolts[i] = map[string]any{"bolt": protocol.TaskName(k.Job, k.Index), "try": k.Attempt, "stage": "running"}
 	}
+	return protocol.Encode(bolts)
+}
+
+// beatBody is a report as a worker sends it.
+func beatBody(r *protocol.Report, bolts protocol.Raw) []byte {
 	return protocol.Encode(map[string]any{"dune": r.Machine, "endpoint": "10.1.0.1:9000", "loom": r.Type, "yard": r.Zone, "borrowed": r.Spot,
 		"shift": r.Session, "tally": r.Seq, "baton": r.Term, "recall_s": nil, "bolts": bolts})
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -26,6 +26,7 @@
 	lastWorker atomic.Int64 // steady time of the last worker's report
 	lastUseful atomic.Int64 // steady time when it last led or reached the leader
 	arrivals   arrivals
+	reader     *protocol.ReportReader
 	bypassed   atomic.Int64 // steady time since when another node leads that refuses this one's links; 0: none does
 }
 
@@ -59,7 +60,8 @@
 	c := &Controller{
 		deps: Deps{Settings: s, Policy: env.Policy, Store: store, Dial: env.Dial, Cloud: bookkeeping.NewCloud(env.Dial, s.Services.Cloud, s.Fleet.Cloud),
 			Lease: lease, Clock: clock, Log: log, Metrics: metrics, Format: format},
-		peers: NewPeers(env.Dial, s.Others, clock, env.Random, log),
+		reader: protocol.NewReportReader(),
+		peers:  NewPeers(env.Dial, s.Others, clock, env.Random, log),
 		server: transport.NewServer(max(s.Fleet.Resources.MaxConnections-socketsKept, s.Fleet.Resources.MaxConnections/2),
 			3*s.Fleet.Workers.Report()+usersPause),
 	}
@@ -299,7 +301,7 @@
 	if r.TooLarge {
 		return Refuse(http.StatusBadRequest, "body over 64 KiB")
 	}
-	report, err := protocol.ParseReport(r.Body)
+	report, err := c.reader.Parse(r.Body)
 	if err != nil {
 		return Refuse(http.StatusBadRequest, err.Error())
 	}
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -529,3 +529,24 @@
 		}
 	}
 }
+
+// A report that shows nothing new is compared with the ledger hundreds of times a
+// second on a small machine: it leaves nothing for the collector, however many tasks
+// the machine has and whatever would be logged of them.
+func TestReportWithoutNewsAllocatesNothing(t *testing.T) {
+	term, reports := busyTerm(20)
+	r := reports[0]
+	if len(r.Tasks) < 10 {
+		t.Fatalf("the machine has only %d tasks", len(r.Tasks))
+	}
+	allocs := testing.AllocsPerRun(100, func() {
+		r.Seq++
+		m := term.observe(r, units.Second)
+		if out := term.commands(m, r, units.Second); len(out) > 0 {
+			t.Errorf("commands for nothing new: %v", out)
+		}
+	})
+	if allocs > 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -83,6 +83,14 @@
 	return answer, true
 }
 
+// trace logs a step of an attempt. There are hundreds a second in a large fleet, so
+// nothing is made up for a line that is dropped.
+func (t *Term) trace(what string, a *bookkeeping.Attempt) {
+	if t.traces {
+		t.Log.Debug(what, "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID)
+	}
+}
+
 func newer(r *protocol.Report, session, seq uint64) bool {
 	return r.Session > session || r.Session == session && r.Seq > seq
 }
@@ -117,28 +125,23 @@
 		}
 		m.NoticeEnds = now + r.Notice
 	}
-	reported := make(map[bookkeeping.AttemptKey]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		task := &r.Tasks[i]
 		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
-		reported[key] = true
 		if task.Stage == protocol.TaskExited {
 			t.exited(m, key, task, now)
 		} else {
 			t.alive(m, key, task, now)
 		}
 	}
-	for key, a := range m.Attempts {
-		if reported[key] {
-			continue
-		}
+	for _, a := range m.Attempts {
 		switch {
-		case a.Stage == bookkeeping.Assigned:
+		case a.SeenSeq == r.Seq, a.Stage == bookkeeping.Assigned:
 		case a.Stage == bookkeeping.Sent && r.Seq <= a.SentSeq:
 		default:
 			// Sent with an earlier answer that never arrived, or forgotten by
 			// the worker: a newer report without it proves it is not there.
-			t.Log.Debug("attempt is not there", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+			t.trace("attempt is not there", a)
 			t.ledger.Gone(a, now)
 		}
 	}
@@ -219,7 +222,9 @@
 	// The job may have ended and left the ledger while an attempt of a task
 	// that was done elsewhere was still on its way out.
 	j = a.Job
-	t.Log.Debug("task ended", "task", a.Task(), "attempt", a.Number, "machine", m.ID, "cause", task.Cause, "saved", task.Saved)
+	if t.traces {
+		t.Log.Debug("task ended", "task", a.Task(), "attempt", a.Number, "machine", m.ID, "cause", task.Cause, "saved", task.Saved)
+	}
 	switch task.Cause {
 	case protocol.CauseDone:
 		if j.Service() {
@@ -260,9 +265,10 @@
 			return // commands will stop it
 		}
 		a = t.ledger.Adopt(j, key.Index, key.Number, m, now)
-		t.Log.Debug("attempt adopted", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+		t.trace("attempt adopted", a)
 	}
 	j = a.Job
+	a.SeenSeq = m.Seq
 	switch task.Stage {
 	case protocol.TaskFetching:
 		a.Stage = bookkeeping.Fetching
@@ -270,7 +276,7 @@
 		if a.Stage != bookkeeping.Running {
 			a.Stage, a.RunningSince = bookkeeping.Running, now
 			j.Begun = true
-			t.Log.Debug("task runs", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+			t.trace("task runs", a)
 			t.ledger.HoldsImage(m, j)
 		}
 		if j.Service() {
@@ -301,25 +307,10 @@
 	out := []protocol.Command{}
 	for i := range r.Tasks {
 		task := &r.Tasks[i]
-		j := t.ledger.Jobs[task.Job]
-		name := protocol.TaskName(task.Job, task.Index)
 		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
-		a, before := m.Attempts[key], len(out)
-		switch {
-		case task.Stage == protocol.TaskExited:
-			// A completion that is not durable stays with the worker: a later
-			// leader must be able to learn of it.
-			if j == nil || j.Cancelled || j.Service() || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index) {
-				out = append(out, protocol.Command{Verb: protocol.Forget, Task: name, Attempt: task.Attempt})
-			}
-		case a == nil:
-			out = append(out, stopCommand(name, task.Attempt, 0))
-		case a.Job.Cancelled:
-			out = append(out, stopCommand(name, task.Attempt, 0))
-		case a.Stop && task.Stage != protocol.TaskSaving:
-			out = append(out, stopCommand(name, task.Attempt, a.Grace))
-		}
-		if before == 0 {
+		if c, ok := t.command(m.Attempts[key], task); ok {
+			c.Task, c.Attempt = protocol.TaskName(task.Job, task.Index), task.Attempt
+			out = append(out, c)
 			tell(m, out, key)
 		}
 	}
@@ -342,12 +333,29 @@
 			a.Stage, a.SentSeq = bookkeeping.Sent, r.Seq
 			out = append(out, protocol.Command{Verb: protocol.Start, Task: a.Task(), Attempt: a.Number})
 			tell(m, out, bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number})
-			t.Log.Debug("start sent", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+			t.trace("start sent", a)
 		}
 	}
 	return out
 }
 
+// command works out what a machine is to do about a task that it reports, if anything.
+func (t *Term) command(a *bookkeeping.Attempt, task *protocol.TaskReport) (protocol.Command, bool) {
+	switch {
+	case task.Stage == protocol.TaskExited:
+		// A completion that is not durable stays with the worker: a later
+		// leader must be able to learn of it.
+		j := t.ledger.Jobs[task.Job]
+		forget := j == nil || j.Cancelled || j.Service() || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index)
+		return protocol.Command{Verb: protocol.Forget}, forget
+	case a == nil, a.Job.Cancelled:
+		return stopCommand("", 0, 0), true
+	case a.Stop && task.Stage != protocol.TaskSaving:
+		return stopCommand("", 0, a.Grace), true
+	}
+	return protocol.Command{}, false
+}
+
 func stopCommand(task string, attempt uint64, grace units.Micros) protocol.Command {
 	g := grace.Seconds()
 	return protocol.Command{Verb: protocol.Stop, Task: task, Attempt: attempt, Grace: &g}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -234,7 +234,7 @@
 			if a == nil {
 				break
 			}
-			t.Log.Debug("task placed", "task", a.Task(), "attempt", a.Number, "machine", m.ID)
+			t.trace("task placed", a)
 			t.Metrics.placed(now - j.Since)
 		}
 		if !j.MayStartOn(m.ID) {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -39,6 +39,7 @@
 	Deps
 	number    uint64
 	claimedAt units.Micros
+	traces    bool // steps of attempts are logged
 
 	mu          sync.Mutex
 	settled     bool
@@ -75,7 +76,7 @@
 // restore the records.
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
-	return &Term{Deps: deps, number: number, claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
+	return &Term{Deps: deps, number: number, traces: deps.Log.Enabled(context.Background(), slog.LevelDebug), claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
 		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State), heads: make([]uint64, bookkeeping.Buckets),
 		restored: make(chan struct{}), finals: newFinalCache(4096), tombs: map[string]units.Micros{}, hurried: map[string]*hurried{}, kept: map[*bookkeeping.Machine]units.Resources{},
 		rent: newRenting(), held: map[*bookkeeping.Machine]*bookkeeping.Job{},
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -226,3 +226,30 @@
 		t.Errorf("%+v, %v", f, err)
 	}
 }
+
+// A report that lists the same tasks as the one before costs little, and says the same
+// as one that is read alone. A list that changed is read anew, whatever came between.
+func TestSameTasksAreNotReadAgain(t *testing.T) {
+	body := func(seq uint64, stage string, tasks int) []byte {
+		bolts := []map[string]any{}
+		for i := range tasks {
+			bolts = append(bolts, map[string]any{"bolt": TaskName("j-000001", i), "try": 7, "stage": stage})
+		}
+		return Encode(map[string]any{"dune": "i-000001", "loom": "m", "yard": "a", "shift": 1, "tally": seq, "bolts": bolts})
+	}
+	reader := NewReportReader()
+	for seq, b := range [][]byte{body(1, "running", 3), body(2, "running", 3), body(3, "fetching", 3), body(4, "running", 3), body(5, "running", 2), body(6, "no stage", 2), body(7, "running", 2)} {
+		got, err := reader.Parse(b)
+		want, alone := ParseReport(b)
+		if (err == nil) != (alone == nil) || err == nil && !reflect.DeepEqual(got, want) {
+			t.Fatalf("report %d: %+v %v, read alone %+v %v", seq+1, got, err, want, alone)
+		}
+	}
+	few, many := body(8, "running", 1), body(9, "running", 64)
+	allocs := func(b []byte) float64 {
+		return testing.AllocsPerRun(100, func() { _, _ = reader.Parse(b) })
+	}
+	if a, b := allocs(few), allocs(many); a != b {
+		t.Errorf("%v allocations for one task, %v for 64", a, b)
+	}
+}
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
-	"regexp"
+	"strings"
 
 	"dunestand/internal/units"
 )
@@ -135,10 +135,22 @@
 	Due     *float64 `cbor:"due_s"`
 }
 
-var jobID = regexp.MustCompile(`^j-[0-9]{1,18}$`)
+const maxJobDigits = 18
 
 // ValidJobID tells whether a text has the form of a job id.
-func ValidJobID(s string) bool { return jobID.MatchString(s) }
+func ValidJobID(s string) bool {
+	digits, ok := strings.CutPrefix(s, "j-")
+	return ok && len(digits) <= maxJobDigits && onlyDigits(digits)
+}
+
+func onlyDigits(s string) bool {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return false
+		}
+	}
+	return s != ""
+}
 
 // SubmissionID gives the job's id in a submission, of which nothing else need be
 // right.
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -1,11 +1,13 @@
 package protocol
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
+	"sync"
 
 	"dunestand/internal/units"
 )
@@ -74,7 +76,7 @@
 	Tally    *uint64    `cbor:"tally"`
 	Baton    uint64     `cbor:"baton"`
 	Recall   *float64   `cbor:"recall_s"`
-	Bolts    []beatBolt `cbor:"bolts"`
+	Bolts    Raw        `cbor:"bolts"`
 }
 
 type beatBolt struct {
@@ -85,8 +87,71 @@
 	Kept  bool   `cbor:"kept"`
 }
 
-// ParseReport reads and checks a worker's report.
-func ParseReport(body []byte) (*Report, error) {
+// ReportReader reads and checks workers' reports. Most reports of a machine list the
+// same tasks as the one before, and these are not read again.
+type ReportReader struct {
+	mu   sync.Mutex
+	last map[string]taskList // by machine
+}
+
+// taskList is a report's list of tasks, as it came and as it was read.
+type taskList struct {
+	raw   Raw
+	tasks []TaskReport
+}
+
+// maxLists bounds the lists that are kept; beyond it they are gathered anew.
+const maxLists = 8192
+
+// NewReportReader makes a reader that has read nothing.
+func NewReportReader() *ReportReader { return &ReportReader{last: map[string]taskList{}} }
+
+// tasks gives a machine's tasks, which must not be changed.
+func (p *ReportReader) tasks(machine string, raw Raw) ([]TaskReport, error) {
+	p.mu.Lock()
+	last, known := p.last[machine]
+	p.mu.Unlock()
+	if known && bytes.Equal(last.raw, raw) {
+		return last.tasks, nil
+	}
+	tasks, err := parseTasks(raw)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.last) >= maxLists && !known {
+		clear(p.last)
+	}
+	p.last[machine] = taskList{raw, tasks}
+	return tasks, nil
+}
+
+func parseTasks(raw Raw) ([]TaskReport, error) {
+	var bolts []beatBolt
+	if len(raw) > 0 {
+		if err := decoder.Unmarshal(raw, &bolts); err != nil {
+			return nil, fmt.Errorf("bolts: not valid: %w", err)
+		}
+	}
+	tasks := make([]TaskReport, 0, len(bolts))
+	for _, b := range bolts {
+		job, index, err := splitTask(b.Bolt)
+		if err != nil {
+			return nil, err
+		}
+		stage, ok := taskStages[b.Stage]
+		if !ok {
+			return nil, errors.New("bolts: unknown stage")
+		}
+		tasks = append(tasks, TaskReport{Job: job, Index: index, Attempt: b.Try, Stage: stage,
+			Cause: Cause(b.Cause), Saved: b.Kept})
+	}
+	return tasks, nil
+}
+
+// Parse reads and checks a worker's report.
+func (p *ReportReader) Parse(body []byte) (*Report, error) {
 	var w beat
 	if err := Decode(body, &w); err != nil {
 		return nil, err
@@ -106,35 +171,31 @@
 		return nil, errors.New("endpoint: too long")
 	}
 	r := &Report{Machine: *w.Dune, Endpoint: w.Endpoint, Type: *w.Loom, Zone: *w.Yard, Spot: w.Borrowed,
-		Session: *w.Shift, Seq: *w.Tally, Term: w.Baton, Tasks: make([]TaskReport, 0, len(w.Bolts))}
+		Session: *w.Shift, Seq: *w.Tally, Term: w.Baton}
 	if w.Recall != nil {
 		if math.IsNaN(*w.Recall) {
 			return nil, errors.New("recall_s: not a number")
 		}
 		r.Notice, r.Noticed = units.Seconds(max(*w.Recall, 0)), true
 	}
-	for _, b := range w.Bolts {
-		job, index, err := splitTask(b.Bolt)
-		if err != nil {
-			return nil, err
-		}
-		stage, ok := taskStages[b.Stage]
-		if !ok {
-			return nil, errors.New("bolts: unknown stage")
-		}
-		r.Tasks = append(r.Tasks, TaskReport{Job: job, Index: index, Attempt: b.Try, Stage: stage,
-			Cause: Cause(b.Cause), Saved: b.Kept})
+	var err error
+	if r.Tasks, err = p.tasks(r.Machine, w.Bolts); err != nil {
+		return nil, err
 	}
 	return r, nil
 }
 
+// ParseReport reads and checks a single report.
+func ParseReport(body []byte) (*Report, error) { return NewReportReader().Parse(body) }
+
 // TaskName gives a task's name: TaskName("j-000412", 3) is j-000412/3.
 func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
 
 func splitTask(s string) (string, int, error) {
 	job, num, ok := strings.Cut(s, "/")
 	n, err := strconv.Atoi(num)
-	if !ok || err != nil || n < 0 || n >= MaxTasks || !ValidJobID(job) || TaskName(job, n) != s {
+	plain := onlyDigits(num) && (num[0] != '0' || len(num) == 1) // as TaskName writes it
+	if !ok || err != nil || !plain || n >= MaxTasks || !ValidJobID(job) {
 		return "", 0, fmt.Errorf("bolts: %q is not a task", truncate(s))
 	}
 	return job, n, nil
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,6 +4,7 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -91,20 +92,25 @@
 	})
 }
 
+const usualBody = 8 << 10
+
 var errTooLarge = errors.New("body too large")
 
 func readBounded(r io.Reader, declared int64) ([]byte, error) {
 	if declared > MaxBody {
 		return nil, errTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
-	if err != nil {
+	// Most bodies are a few KiB long and get room for all of it at once; no more is
+	// set aside for what has only been declared.
+	var body bytes.Buffer
+	body.Grow(int(min(max(declared, 0), usualBody)) + bytes.MinRead)
+	if _, err := body.ReadFrom(io.LimitReader(r, MaxBody+1)); err != nil {
 		return nil, err
 	}
-	if len(body) > MaxBody {
+	if body.Len() > MaxBody {
 		return nil, errTooLarge
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
 // Serve answers requests on l until ctx ends.
