--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -67,16 +67,16 @@
 }
 
 type beat struct {
-	Dune     *string    `cbor:"dune"`
-	Endpoint string     `cbor:"endpoint"`
-	Loom     *string    `cbor:"loom"`
-	Yard     *string    `cbor:"yard"`
-	Borrowed bool       `cbor:"borrowed"`
-	Shift    *uint64    `cbor:"shift"`
-	Tally    *uint64    `cbor:"tally"`
-	Baton    uint64     `cbor:"baton"`
-	Recall   *float64   `cbor:"recall_s"`
-	Bolts    Raw        `cbor:"bolts"`
+	Dune     *string  `cbor:"dune"`
+	Endpoint string   `cbor:"endpoint"`
+	Loom     *string  `cbor:"loom"`
+	Yard     *string  `cbor:"yard"`
+	Borrowed bool     `cbor:"borrowed"`
+	Shift    *uint64  `cbor:"shift"`
+	Tally    *uint64  `cbor:"tally"`
+	Baton    uint64   `cbor:"baton"`
+	Recall   *float64 `cbor:"recall_s"`
+	Bolts    Raw      `cbor:"bolts"`
 }
 
 type beatBolt struct {
