--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -107,7 +107,7 @@
 // located is a victim and its machine.
 type located struct {
 	machine int
-	victim  Victim
+	victim  *Victim
 }
 
 // companion is a machine that has room for a job; the largest key goes first.
@@ -442,11 +442,13 @@
 		p.victims = make([][]Victim, len(p.s.Machines))
 	}
 	if p.victims[k] == nil {
-		p.victims[k] = []Victim{}
 		if list := p.s.Machines[k].Victims; list != nil {
-			p.victims[k] = append(p.victims[k], list()...)
+			p.victims[k] = list()
 			slices.SortFunc(p.victims[k], compareVictims)
 		}
+		if p.victims[k] == nil {
+			p.victims[k] = []Victim{} // asked, and none
+		}
 	}
 	return p.victims[k]
 }
@@ -463,8 +465,8 @@
 		if c.victim.Priority >= j.Spec.Priority || room() >= j.Pending {
 			break
 		}
-		if !p.taken[c.victim.Ref] && p.usable(c.machine, j) && p.mayStop(j, c.victim) {
-			p.stop(&p.s.Machines[c.machine], c.victim, i)
+		if !p.taken[c.victim.Ref] && p.usable(c.machine, j) && p.mayStop(j, *c.victim) {
+			p.stop(&p.s.Machines[c.machine], *c.victim, i)
 		}
 	}
 	return room()
@@ -476,12 +478,13 @@
 	if p.ofTeam == nil {
 		p.ofTeam = map[int][]located{}
 		for k := range p.s.Machines {
-			for _, v := range p.victimsOn(k) {
-				p.ofTeam[v.Team] = append(p.ofTeam[v.Team], located{k, v})
+			on := p.victimsOn(k)
+			for n := range on {
+				p.ofTeam[on[n].Team] = append(p.ofTeam[on[n].Team], located{k, &on[n]})
 			}
 		}
 		for _, list := range p.ofTeam {
-			slices.SortFunc(list, func(a, b located) int { return compareVictims(a.victim, b.victim) })
+			slices.SortFunc(list, func(a, b located) int { return compareVictims(*a.victim, *b.victim) })
 		}
 	}
 	return p.ofTeam[team]
