--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -41,7 +41,7 @@
 	FetchRate  units.Amount    // GB a second
 	Images     func(name string) bool
 	// Victims lists the tasks that could be stopped; nil if none may be. It is
-	// asked once, and only if room has to be made.
+	// asked once, and only if room has to be made; the list is the planner's.
 	Victims func() []Victim
 }
 
