Log the runtime's own figures and each part of a submission's way

Every node logs processor seconds, heap, stacks and goroutines each 10 s, and shows them at /metrics. At debug level the leader logs what a submission waits for, and a follower what passing a request on takes.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -82,6 +82,7 @@
 	metrics.Gauge("dunestand_state_unanswered_total", func() float64 { return float64(store.Stats.Uncertain.Load()) })
 	metrics.Gauge("dunestand_state_write_limit", func() float64 { return s.Fleet.State.WriteRPS })
 	metrics.Gauge("dunestand_state_request_limit", func() float64 { return s.Fleet.State.RPS })
+	metrics.addRuntime()
 	c.routes()
 	return c
 }
@@ -96,6 +97,7 @@
 		func() { errs <- c.server.Serve(ctx, clients) },
 		func() { errs <- transport.ServeMesh(ctx, mesh, c.deps.Log, c.answerPeer) },
 		func() { c.peers.Run(ctx) },
+		func() { c.logRuntime(ctx) },
 		func() { c.deps.Format.Run(ctx, func() bool { return c.leading() != nil }) },
 		func() { c.deps.Lease.Run(ctx, c.lead) },
 	} {
@@ -258,8 +260,11 @@
 // a while is not waited for.
 func (c *Controller) forward(ctx context.Context, allowed bool, kind protocol.FrameKind, id string, body []byte) transport.Response {
 	if leader := c.leader(); allowed && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
+		sent := c.deps.Clock.Steady()
 		r, err := c.peers.Forward(ctx, leader, kind, id, body)
 		if err == nil {
+			c.deps.Log.Debug("request passed on", "leader", leader, "kind", kind.String(), "status", r.Status,
+				"took_us", int64(c.deps.Clock.Steady()-sent))
 			return r
 		}
 		c.deps.Log.Debug("request not passed on", "leader", leader, "job", id, "error", err)
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"dunestand/internal/protocol"
+	"dunestand/internal/runtimestats"
 	"dunestand/internal/units"
 )
 
@@ -27,6 +29,37 @@
 // Gauge adds a value that is worked out when it is asked for.
 func (m *Metrics) Gauge(name string, value func() float64) { m.set.NewGauge(name, value) }
 
+// addRuntime adds the runtime's own figures.
+func (m *Metrics) addRuntime() {
+	gauges := []struct {
+		name  string
+		value func(runtimestats.Snapshot) float64
+	}{
+		{"dunestand_runtime_user_seconds_total", func(s runtimestats.Snapshot) float64 { return s.UserSeconds }},
+		{"dunestand_runtime_collector_seconds_total", func(s runtimestats.Snapshot) float64 { return s.CollectorSeconds }},
+		{"dunestand_runtime_idle_seconds_total", func(s runtimestats.Snapshot) float64 { return s.IdleSeconds }},
+		{"dunestand_runtime_collections_total", func(s runtimestats.Snapshot) float64 { return float64(s.Collections) }},
+		{"dunestand_runtime_heap_bytes", func(s runtimestats.Snapshot) float64 { return float64(s.HeapBytes) }},
+		{"dunestand_runtime_stack_bytes", func(s runtimestats.Snapshot) float64 { return float64(s.StackBytes) }},
+		{"dunestand_runtime_memory_bytes", func(s runtimestats.Snapshot) float64 { return float64(s.TotalBytes) }},
+		{"dunestand_runtime_goroutines", func(s runtimestats.Snapshot) float64 { return float64(s.Goroutines) }},
+	}
+	for _, g := range gauges {
+		m.Gauge(g.name, func() float64 { return g.value(runtimestats.Read()) })
+	}
+}
+
+// runtimeLogEvery is the pace of the log line with the runtime's figures. Every node
+// writes it, leader or not.
+const runtimeLogEvery = 10 * units.Second
+
+// logRuntime logs the runtime's figures until ctx ends.
+func (c *Controller) logRuntime(ctx context.Context) {
+	for pause(ctx, runtimeLogEvery) {
+		c.deps.Log.Info("process", "leading", c.leading() != nil, "runtime", runtimestats.Read())
+	}
+}
+
 // Text writes the metrics; term may be nil.
 func (m *Metrics) Text(term *Term) []byte {
 	var b bytes.Buffer
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -326,9 +326,14 @@
 // its conditions see to it that it happens once.
 func (t *Term) commit(ctx context.Context, s *bookkeeping.Save) {
 	uncertain := false
+	began := t.Clock.Steady()
 	for wait := 100 * units.Millisecond; ; wait = min(2*wait, 400*units.Millisecond) {
 		version, err := t.Store.Commit(ctx, s.Txn, false, stateCall)
 		if err == nil {
+			if t.traces {
+				t.Log.Debug("save carried out", "jobs", s.Jobs(), "changes", len(s.Txn.Then),
+					"took_us", int64(t.Clock.Steady()-began))
+			}
 			t.applied(s, version)
 			return
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -80,6 +80,7 @@
 
 // Submit accepts a job, durably, before it answers.
 func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) transport.Response {
+	began := t.Clock.Steady()
 	t.mu.Lock()
 	if !t.leads() {
 		t.mu.Unlock()
@@ -111,8 +112,12 @@
 		return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers)
 	}
 	saved := j.Saved()
+	noted := t.Clock.Steady()
 	t.mu.Unlock()
-	if !waitFor(ctx, saved) {
+	stored := waitFor(ctx, saved)
+	t.Log.Debug("submission waited", "job", spec.ID, "stored", stored,
+		"lock_us", int64(noted-began), "save_us", int64(t.Clock.Steady()-noted))
+	if !stored {
 		return unavailable("state service is slow")
 	}
 	t.mu.Lock()
