Bound the jobs a controller takes by their memory, not by their number

A job was reckoned at 13 KB whatever its size; one of 100,000 tasks takes 38 KB in the three sets of its tasks. The test fails when tasks are not counted.

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -124,6 +124,7 @@
 	format   int        // of the fleet: the newest that every leader reads
 	tight    bool       // the limits to come are known to hold
 	left     []leftover // to be deleted
+	memory   int64      // that the jobs are reckoned to take
 	// doubts holds, by machine, the jobs whose records name it while nobody has
 	// told us what it holds; inDoubt holds these jobs. Both shrink as machines
 	// settle, so that each costs what it has to do with and not the whole fleet.
@@ -236,6 +237,9 @@
 	}
 	j.changed = j.changed || len(j.obsolete) > 0 // a leader died before they were deleted
 	j.setRooms(l.rooms)
+	if l.Jobs[j.Spec.ID] == nil {
+		l.memory += MemoryOf(&j.Spec)
+	}
 	l.Jobs[j.Spec.ID] = j
 	for m := range j.Doubts {
 		l.doubt(j, m)
@@ -244,7 +248,10 @@
 
 // remove drops a job that is over, or was never accepted.
 func (l *Ledger) remove(j *Job) {
-	delete(l.Jobs, j.Spec.ID)
+	if l.Jobs[j.Spec.ID] != nil {
+		l.memory -= MemoryOf(&j.Spec)
+		delete(l.Jobs, j.Spec.ID)
+	}
 	delete(l.inDoubt, j)
 	for m := range j.Doubts {
 		if l.doubts[m] = slices.DeleteFunc(l.doubts[m], func(o *Job) bool { return o == j }); len(l.doubts[m]) == 0 {
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -404,31 +404,28 @@
 	}
 }
 
-// The number of jobs that a controller takes is bounded by its memory: at the bound
-// they must leave room for everything else.
+// The jobs that a controller takes are bounded by its memory. What one is reckoned to
+// take must leave room for everything else.
 func TestJobsAtTheBoundLeaveRoom(t *testing.T) {
-	const (
-		jobs       = 400
-		tasks      = 3000
-		mostMemory = 0.5 // of what there is
-	)
-	term, clock := guardTerm(t, 1)
-	before := heapInUse()
-	for i := range jobs {
-		spec := *modelSpec(fmt.Sprintf("j-%06d", i+100))
-		spec.Tasks = tasks
-		job := term.ledger.NewJob(spec, clock.now, clock.now)
-		for index := range tasks / 2 {
-			term.ledger.Done(job, 2*index, clock.now)
+	const mostTaken = 0.5 // of what is reckoned
+	for _, c := range []struct{ jobs, tasks int }{{400, 1}, {400, 3000}, {20, protocol.MaxTasks}} {
+		term, clock := guardTerm(t, 1)
+		before, reckonedBefore := heapInUse(), term.ledger.Memory()
+		for i := range c.jobs {
+			spec := *modelSpec(fmt.Sprintf("j-%06d", i+100))
+			spec.Tasks = c.tasks
+			job := term.ledger.NewJob(spec, clock.now, clock.now)
+			for index := range c.tasks / 2 {
+				term.ledger.Done(job, 2*index, clock.now)
+			}
 		}
+		saveAll(term)
+		taken, reckoned := float64(heapInUse()-before), float64(term.ledger.Memory()-reckonedBefore)
+		if taken > reckoned*mostTaken {
+			t.Errorf("%d jobs of %d tasks take %.0f bytes, reckoned are %.0f", c.jobs, c.tasks, taken, reckoned)
+		}
+		runtime.KeepAlive(term)
 	}
-	saveAll(term)
-	perJob := float64(heapInUse()-before) / jobs
-	room := term.Settings.Fleet.Resources.RAMMB * (1 << 20) * mostMemory / float64(maxJobs(term.Settings))
-	if perJob > room {
-		t.Errorf("a job takes %.0f bytes, there is room for %.0f", perJob, room)
-	}
-	runtime.KeepAlive(term)
 }
 
 func heapInUse() uint64 {
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -26,7 +26,7 @@
 
 // arrivals is what a node needs to accept jobs without a leader.
 type arrivals struct {
-	alone atomic.Int64 // jobs accepted so since it last reached a leader
+	alone atomic.Int64 // memory of the jobs accepted so since it last reached a leader
 	mu    sync.Mutex
 	types map[string]protocol.MachineType
 	until units.Micros
@@ -73,7 +73,8 @@
 	if status, _ := judge(spec, c.deps.Settings, c.machineTypes(ctx), c.deps.Format.Level()); status != 0 {
 		return refused
 	}
-	if c.arrivals.alone.Add(1) > int64(maxJobs(c.deps.Settings)/(1+len(c.deps.Settings.Others))) {
+	share := jobMemory(c.deps.Settings) / int64(1+len(c.deps.Settings.Others))
+	if c.arrivals.alone.Add(bookkeeping.MemoryOf(spec)) > share {
 		return Refuse(http.StatusTooManyRequests, "too many jobs wait for a leader")
 	}
 	_, err := store.Commit(ctx, bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: *spec, Submitted: c.deps.Clock.Wall()}), false, arrivalCall)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -75,8 +75,9 @@
 	return f, ok, err
 }
 
-// maxJobs bounds the jobs that are live at a time by the memory there is.
-func maxJobs(s *config.Settings) int { return int(s.Fleet.Resources.RAMMB * 80) }
+// jobMemory bounds what the live jobs may take, by the reckoning of the ledger: a
+// controller refuses new jobs rather than be ended for memory with all that it holds.
+func jobMemory(s *config.Settings) int64 { return int64(s.Fleet.Resources.RAMMB * (1 << 20)) }
 
 // Submit accepts a job, durably, before it answers.
 func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) transport.Response {
@@ -146,7 +147,7 @@
 // judge tells why a new job cannot be taken; status 0 if it can.
 func (t *Term) judge(spec *protocol.JobSpec) (int, string) {
 	status, why := judge(spec, t.Settings, t.ledger.Types, t.Format.Level())
-	if status == 0 && len(t.ledger.Jobs) >= maxJobs(t.Settings) {
+	if status == 0 && t.ledger.Memory()+bookkeeping.MemoryOf(spec) > jobMemory(t.Settings) {
 		return http.StatusTooManyRequests, "too many unfinished jobs"
 	}
 	return status, why
