--- a/internal/bookkeeping/inbox.go
+++ b/internal/bookkeeping/inbox.go
@@ -21,12 +21,12 @@
 	Submitted units.Micros // time of day
 }
 
-// The record is in the old form for good: it is small, and any version that may
-// lead reads it.
-//
 // ArrivalTxn is the transaction that accepts a job without a leader. It is
 // carried out only if no record tells of the job: one that comes late, after
 // the job was accepted otherwise or is over, fails.
+//
+// The record is in the old form for good: it is small, and any version that may
+// lead reads it.
 func ArrivalTxn(a Arrival) protocol.Txn {
 	id := a.Spec.ID
 	return protocol.Txn{
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -146,8 +146,8 @@
 				}
 			}
 			for _, got := range jobs {
-				want := l.Jobs[got.Spec.ID]
-				if want == nil {
+				want, known := l.Jobs[got.Spec.ID]
+				if !known {
 					t.Fatalf("%s is not known", got.Spec.ID)
 				}
 				if !reflect.DeepEqual(got.Spec, want.Spec) || got.Submitted != want.Submitted {
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -34,7 +34,6 @@
 	change   protocol.Change
 	cell     *cell    // nil: something is deleted
 	machines []string // that the record names
-	last     bool     // only once all before it is written
 	with     bool     // only together with the one before
 }
 
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -311,8 +311,10 @@
 		}
 		return false
 	}
-	if forgotten() || forgotten() {
-		t.Fatal("forgotten before it was saved")
+	for range 2 {
+		if forgotten() {
+			t.Fatal("forgotten before it was saved")
+		}
 	}
 	save()
 	if !forgotten() {
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -24,7 +24,7 @@
 	maxMeshConns = 16
 )
 
-// ErrLinkDown: the peer cannot be reached now.
+// ErrLinkDown tells that the peer cannot be reached now.
 var ErrLinkDown = errors.New("link is down")
 
 // Link is a connection to one other controller, redialled when it fails. It
