--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -48,7 +48,7 @@
 	// CancelStored: the cancellation is durable, so its user may be told.
 	CancelStored bool
 	Live         map[int]*Attempt
-	Doubts       map[string]bool // machines that may hold tasks nobody has told us of
+	Unconfirmed  map[string]bool // machines that may hold tasks nobody has told us of
 	Since        units.Micros    // steady time when this leader learnt of it
 
 	// What its attempts taught.
@@ -82,7 +82,7 @@
 
 func newJob(spec protocol.JobSpec, submitted units.Micros, format int) *Job {
 	return &Job{
-		Spec: spec, Submitted: submitted, Live: map[int]*Attempt{}, Doubts: map[string]bool{},
+		Spec: spec, Submitted: submitted, Live: map[int]*Attempt{}, Unconfirmed: map[string]bool{},
 		ErrorsOn: map[string]bool{}, done: newBitset(spec.Tasks), records: newRecords(spec.ID, format),
 		unsaved: newBitset(spec.Tasks), inSave: newBitset(spec.Tasks), on: map[string]int{},
 		saved: make(chan struct{}),
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
-	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -22,94 +20,6 @@
 	Freeing   units.Resources // part of Used, held by attempts that were told to stop
 }
 
-// Machine is a machine that reported, is listed, or was rented.
-type Machine struct {
-	ID       string
-	Type     string
-	Zone     string
-	Spot     bool
-	Endpoint string // as the cloud lists it
-	Size     units.Resources
-	Cache    units.Amount
-	Used     units.Resources
-	Freeing  units.Resources // part of Used, held by attempts that were told to stop
-	Attempts map[AttemptKey]*Attempt
-	Ended    int // ended tasks in its last report
-
-	Seen         bool   // it reported to this leader
-	Term         uint64 // the highest term it had seen by its last report
-	Session, Seq uint64
-	LastAnswered units.Micros // when its last answered report came in
-	Told         Told         // by the last answer
-	Unheard      int          // answers in a row that had no effect
-	UnheardAt    units.Micros // when the last of these showed, or its session began
-	// HungCancelled: it held tasks of a cancelled job when its lease ran out, and has
-	// not reported since. If it hangs they are on it still.
-	HungCancelled bool
-	NoticeEnds    units.Micros // when the cloud takes it away; 0: no notice
-	SetAside      bool         // faulty: gets no work and is returned
-	Slow          bool
-	BlockedUntil  units.Micros // refused for want of room: our count is off
-
-	Stage      string // as the cloud lists it
-	Rented     units.Micros
-	IdleSince  units.Micros
-	Releasing  bool
-	errorJobs  map[string]bool // jobs that failed here since the last success
-	slowness   float64         // run time against siblings elsewhere, moving mean of its log2
-	slowRuns   int
-	images     []image // the most recently used one last
-	imagesSize units.Amount
-}
-
-// AttemptKey names an attempt on its machine.
-type AttemptKey struct {
-	Job    string
-	Index  int
-	Number uint64
-}
-
-// Told is the first command of an answer that was sent to a machine.
-type Told struct {
-	Given bool
-	Verb  string
-	Key   AttemptKey
-}
-
-type image struct {
-	name string
-	size units.Amount
-}
-
-// Free is the room that is left.
-func (m *Machine) Free() units.Resources { return m.Size.Plus(m.Used, -1) }
-
-// HasImage tells whether the machine is thought to hold an image.
-func (m *Machine) HasImage(name string) bool {
-	for _, i := range m.images {
-		if i.name == name {
-			return true
-		}
-	}
-	return false
-}
-
-// touchImage notes that an image is used, as the machine's cache would.
-func (m *Machine) touchImage(name string, size units.Amount) {
-	for k, i := range m.images {
-		if i.name == name {
-			m.images = append(append(m.images[:k:k], m.images[k+1:]...), i)
-			return
-		}
-	}
-	m.images = append(m.images, image{name, size})
-	m.imagesSize += size
-	for m.imagesSize > m.Cache && len(m.images) > 1 {
-		m.imagesSize -= m.images[0].size
-		m.images = m.images[1:]
-	}
-}
-
 // Ledger is the leader's view of jobs, machines and teams. It is not safe for
 // concurrent use.
 type Ledger struct {
@@ -125,11 +35,11 @@
 	tight    bool       // the limits to come are known to hold
 	left     []leftover // to be deleted
 	memory   int64      // that the jobs are reckoned to take
-	// doubts holds, by machine, the jobs whose records name it while nobody has
+	// unconfirmed holds, by machine, the jobs whose records name it while nobody has
 	// told us what it holds; inDoubt holds these jobs. Both shrink as machines
 	// settle, so that each costs what it has to do with and not the whole fleet.
-	doubts  map[string][]*Job
-	inDoubt map[*Job]bool
+	unconfirmed     map[string][]*Job
+	unconfirmedJobs map[*Job]bool
 }
 
 // NewLedger makes an empty ledger for records in the old form, within the limits
@@ -137,7 +47,7 @@
 func NewLedger(teams []config.Team, state config.State) *Ledger {
 	l := &Ledger{state: state, rooms: rooms(state.ValueBytes(), state.Both().ValueBytes()), format: FormatOld, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
 		Types: map[string]protocol.MachineType{}, classes: map[string]float64{},
-		doubts: map[string][]*Job{}, inDoubt: map[*Job]bool{}}
+		unconfirmed: map[string][]*Job{}, unconfirmedJobs: map[*Job]bool{}}
 	for _, t := range teams {
 		l.Teams[t.Name] = &Team{Name: t.Name, Limit: LimitOf(t),
 			Guarantee: units.Resources{CPU: units.AmountOf(t.CPUs), GPU: units.AmountOf(t.GPUs), Memory: unlimited}}
@@ -145,9 +55,9 @@
 	return l
 }
 
-// Raise takes over that every leader, now and later, reads a format. Records in
+// UpgradeFormat takes over that every leader, now and later, reads a format. Records in
 // the old form are turned as they are written, and all of them in time.
-func (l *Ledger) Raise(format int, now units.Micros) {
+func (l *Ledger) UpgradeFormat(format int, now units.Micros) {
 	if format <= l.format {
 		return
 	}
@@ -163,9 +73,9 @@
 // oldLeaders tells whether a leader may come that reads the old form alone.
 func (l *Ledger) oldLeaders() bool { return l.format < FormatNew }
 
-// Tighten takes over that the limits to come hold already, and tells whether
+// ApplyNextLimits takes over that the limits to come hold already, and tells whether
 // that was new.
-func (l *Ledger) Tighten() bool {
+func (l *Ledger) ApplyNextLimits() bool {
 	was := l.tight
 	l.tight = true
 	return !was && l.oldLeaders()
@@ -241,8 +151,8 @@
 		l.memory += MemoryOf(&j.Spec)
 	}
 	l.Jobs[j.Spec.ID] = j
-	for m := range j.Doubts {
-		l.doubt(j, m)
+	for m := range j.Unconfirmed {
+		l.addUnconfirmed(j, m)
 	}
 }
 
@@ -252,19 +162,14 @@
 		l.memory -= MemoryOf(&j.Spec)
 		delete(l.Jobs, j.Spec.ID)
 	}
-	delete(l.inDoubt, j)
-	for m := range j.Doubts {
-		if l.doubts[m] = slices.DeleteFunc(l.doubts[m], func(o *Job) bool { return o == j }); len(l.doubts[m]) == 0 {
-			delete(l.doubts, m)
+	delete(l.unconfirmedJobs, j)
+	for m := range j.Unconfirmed {
+		if l.unconfirmed[m] = slices.DeleteFunc(l.unconfirmed[m], func(o *Job) bool { return o == j }); len(l.unconfirmed[m]) == 0 {
+			delete(l.unconfirmed, m)
 		}
 	}
 }
 
-func (l *Ledger) doubt(j *Job, machine string) {
-	l.doubts[machine] = append(l.doubts[machine], j)
-	l.inDoubt[j] = true
-}
-
 // NewJob adds a submitted job, which is not accepted until it is saved.
 func (l *Ledger) NewJob(spec protocol.JobSpec, wall, now units.Micros) *Job {
 	j := newJob(spec, wall, l.format)
@@ -280,7 +185,7 @@
 	if !ok {
 		return nil
 	}
-	if c := j.home[m.ID]; c == nil || c.dirty && !c.machines[m.ID] {
+	if c := j.shardOf[m.ID]; c == nil || c.dirty && !c.machines[m.ID] {
 		j.name(m.ID)
 		j.Changed(now, true)
 	}
@@ -478,7 +383,7 @@
 // Remove drops a machine that is certainly gone, and all that was on it.
 func (l *Ledger) Remove(m *Machine, now units.Micros) {
 	l.Emptied(m, now)
-	l.Settle(m.ID)
+	l.Confirm(m.ID)
 	delete(l.Machines, m.ID)
 	if i, ok := l.find(m.ID); ok {
 		l.ordered = slices.Delete(l.ordered, i, i+1)
@@ -506,53 +411,6 @@
 	return out
 }
 
-// Settle notes that what a machine holds is known.
-func (l *Ledger) Settle(id string) {
-	for _, j := range l.doubts[id] {
-		delete(j.Doubts, id)
-		if len(j.Doubts) == 0 {
-			delete(l.inDoubt, j)
-		}
-	}
-	delete(l.doubts, id)
-}
-
-// Doubt notes that a machine may hold tasks of a job that nobody has told us of.
-func (l *Ledger) Doubt(j *Job, machine string) {
-	if !j.Doubts[machine] {
-		j.Doubts[machine] = true
-		l.doubt(j, machine)
-	}
-}
-
-// Doubtful tells whether a job may have tasks on the machine that nobody has
-// told us of.
-func (l *Ledger) Doubtful(id string) bool { return len(l.doubts[id]) > 0 }
-
-// HoldsCancelled tells whether a machine may hold tasks of a cancelled job.
-func (l *Ledger) HoldsCancelled(id string) bool {
-	if m := l.Machines[id]; m != nil {
-		if m.HungCancelled {
-			return true
-		}
-		for _, a := range m.Attempts {
-			if a.Job.Cancelled {
-				return true
-			}
-		}
-	}
-	return slices.ContainsFunc(l.doubts[id], func(j *Job) bool { return j.Cancelled })
-}
-
-// Doubts counts the machines that may hold tasks nobody has told us of.
-func (l *Ledger) Doubts() int { return len(l.doubts) }
-
-// DoubtfulMachines names them, in order.
-func (l *Ledger) DoubtfulMachines() []string { return slices.Sorted(maps.Keys(l.doubts)) }
-
-// InDoubt gives the jobs that may have tasks on such machines, in no order.
-func (l *Ledger) InDoubt() iter.Seq[*Job] { return maps.Keys(l.inDoubt) }
-
 // HoldsImage notes that a machine has a job's image.
 func (l *Ledger) HoldsImage(m *Machine, j *Job) {
 	if j.Spec.ImageSize > 0 {
@@ -565,12 +423,3 @@
 
 // Sorted lists the machine's attempts in a fixed order.
 func (m *Machine) Sorted() []*Attempt { return sortedAttempts(m) }
-
-// InDoubt is what the job may be using on machines nobody has told us of, at
-// worst.
-func (j *Job) InDoubt() int {
-	if len(j.Doubts) == 0 {
-		return 0
-	}
-	return j.Pending()
-}
--- a/internal/bookkeeping/production_test.go
+++ b/internal/bookkeeping/production_test.go
@@ -50,8 +50,8 @@
 		"j-000001": {3, 2}, "j-000002": {40, 12858}, "j-000003": {600, 0}, "j-000004": {1, 0}, "j-000005": {3, 0}}
 	for _, j := range jobs {
 		w := want[j.Spec.ID]
-		if len(j.Doubts) != w.names || j.DoneCount() != w.done || len(old[j.Spec.ID].Machines) != w.names {
-			t.Errorf("%s: %d names, %d done, want %v", j.Spec.ID, len(j.Doubts), j.DoneCount(), w)
+		if len(j.Unconfirmed) != w.names || j.DoneCount() != w.done || len(old[j.Spec.ID].Machines) != w.names {
+			t.Errorf("%s: %d names, %d done, want %v", j.Spec.ID, len(j.Unconfirmed), j.DoneCount(), w)
 		}
 		if j.Cancelled != (j.Spec.ID == "j-000004") || j.Service() != (j.Spec.ID == "j-000005") {
 			t.Errorf("%s: cancelled %v, service %v", j.Spec.ID, j.Cancelled, j.Service())
@@ -88,7 +88,7 @@
 		s := &store{items: production(t), revision: 100}
 		for restart := 0; ; restart++ {
 			l := NewLedger(nil, limits)
-			l.Raise(FormatNew, 0)
+			l.UpgradeFormat(FormatNew, 0)
 			jobs, orphans, err := ParseJobs(s.rows())
 			if err != nil || len(orphans) > 0 {
 				t.Fatal(err, orphans)
@@ -96,7 +96,7 @@
 			for _, j := range jobs {
 				l.Add(j)
 			}
-			if got := len(l.Jobs["j-000003"].Doubts); got != 600 {
+			if got := len(l.Jobs["j-000003"].Unconfirmed); got != 600 {
 				t.Fatalf("crash after %d saves: %d machines are named", crash, got)
 			}
 			if got := l.Jobs["j-000002"].DoneCount(); got != 12858 {
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -330,7 +330,7 @@
 	} else {
 		err = protocol.Decode(row.Value, &p)
 	}
-	c := &cell{key: row.Key, version: row.Version}
+	c := &shard{key: row.Key, version: row.Version}
 	switch size := j.Spec.Tasks - 1; {
 	case err != nil:
 	case kind == kindOldPage:
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -154,7 +154,7 @@
 					t.Fatalf("restored %+v, saved %+v", got.Spec, want.Spec)
 				}
 				for m := range l.Machines {
-					if want.MayStartOn(m) && !got.Doubts[m] {
+					if want.MayStartOn(m) && !got.Unconfirmed[m] {
 						t.Fatalf("%s may start on %s, which no record names", got.Spec.ID, m)
 					}
 					if before != nil && want.MayStartOn(m) && !slices.Contains(before[got.Spec.ID].Machines, m) {
@@ -228,7 +228,7 @@
 		steps := rapid.IntRange(1, 3).Draw(t, "steps")
 		for step := range 2 * steps {
 			if step == steps {
-				l.Raise(FormatNew, 1)
+				l.UpgradeFormat(FormatNew, 1)
 				format, limits = FormatNew, now.Both()
 				limits.ValueKB, limits.TxnOps = now.Both().ValueKB, now.Both().TxnOps
 			}
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -32,7 +32,7 @@
 // write is one change in a job's records.
 type write struct {
 	change   protocol.Change
-	cell     *cell    // nil: something is deleted
+	cell     *shard   // nil: something is deleted
 	machines []string // that the record names
 	with     bool     // only together with the one before
 }
@@ -108,7 +108,7 @@
 	switch {
 	case !j.stored:
 		return nil
-	case j.Cancelled && len(j.Live) == 0 && len(j.Doubts) == 0:
+	case j.Cancelled && len(j.Live) == 0 && len(j.Unconfirmed) == 0:
 		return &Final{Stage: protocol.StageCancelled, Tasks: j.Spec.Tasks, Done: j.doneCount, Save: id}
 	case !j.Cancelled && j.Complete():
 		return &Final{Stage: protocol.StageDone, Tasks: j.Spec.Tasks, Done: j.doneCount, Save: id}
@@ -266,7 +266,7 @@
 		return part, out
 	}
 	if !l.oldLeaders() && j.format == FormatOld {
-		j.turn(l.rooms)
+		j.migrate(l.rooms)
 	}
 	j.main.dirty = j.main.dirty || j.Cancelled && !j.CancelStored
 	if j.format == FormatOld { // a page in the old form does not tell whose save it was
@@ -283,7 +283,7 @@
 			change: protocol.Change{Set: j.main.key, Value: protocol.Encode(j.record(id, machines))}})
 		inbox()
 	}
-	if !j.turning {
+	if !j.migrating {
 		main()
 	}
 	for _, n := range slices.Sorted(maps.Keys(j.parts)) {
@@ -306,7 +306,7 @@
 			out = append(out, write{cell: c, change: protocol.Change{Set: c.key, Value: protocol.Encode(p)}})
 		}
 	}
-	if j.turning {
+	if j.migrating {
 		main()
 	}
 	for _, key := range j.obsolete {
@@ -316,7 +316,7 @@
 }
 
 // named lists the machines that a record is to name.
-func (j *Job) named(c *cell) []string {
+func (j *Job) named(c *shard) []string {
 	var out []string
 	for m := range c.machines {
 		if j.inUse(m) {
@@ -428,7 +428,7 @@
 		}
 		return
 	case w.cell == j.main:
-		j.stored, j.turning = true, false
+		j.stored, j.migrating = true, false
 	}
 	w.cell.version = revision
 	for _, m := range w.machines {
@@ -441,7 +441,7 @@
 // leave notes what is left of a job that is over.
 func (l *Ledger) leave(j *Job) {
 	keys := j.obsolete
-	for _, cells := range []map[int]*cell{j.parts, j.pages, j.oldPages} {
+	for _, cells := range []map[int]*shard{j.parts, j.pages, j.oldPages} {
 		for _, n := range slices.Sorted(maps.Keys(cells)) {
 			if c := cells[n]; c.version != 0 {
 				keys = append(keys, c.key)
--- a/internal/bookkeeping/cells.go
+++ b/internal/bookkeeping/shards.go
@@ -11,8 +11,8 @@
 // start there and for as long as it may hold a task, a completion is never taken
 // back. So a transaction need not hold all that has changed.
 
-// cell is one record of a job.
-type cell struct {
+// shard is one record of a job.
+type shard struct {
 	key      string
 	version  uint64          // 0: it is not stored
 	dirty    bool            // it is to be written
@@ -23,16 +23,16 @@
 
 // records are a live job's records.
 type records struct {
-	format   int
-	turning  bool          // into the new form: its own record is still in the old one
-	main     *cell         // the job's own
-	parts    map[int]*cell // further names
-	pages    map[int]*cell // of the done set
-	oldPages map[int]*cell
-	obsolete []string         // keys in the old form that are to be deleted
-	home     map[string]*cell // where a machine is named
-	filling  *cell            // where the last new name went
-	partRoom int              // for names, in a part
+	format    int
+	migrating bool           // into the new form: its own record is still in the old one
+	main      *shard         // the job's own
+	parts     map[int]*shard // further names
+	pages     map[int]*shard // of the done set
+	oldPages  map[int]*shard
+	obsolete  []string          // keys in the old form that are to be deleted
+	shardOf   map[string]*shard // where a machine is named
+	openShard *shard            // where the last new name went
+	partRoom  int               // for names, in a part
 }
 
 // maxParts bounds the number of parts. The largest array has as many tasks, so
@@ -40,19 +40,19 @@
 const maxParts = protocol.MaxTasks
 
 func newRecords(job string, format int) records {
-	main := &cell{key: KeyJob(job), dirty: true, machines: map[string]bool{}}
-	return records{format: format, main: main, filling: main, home: map[string]*cell{},
-		parts: map[int]*cell{}, pages: map[int]*cell{}, oldPages: map[int]*cell{}}
+	main := &shard{key: KeyJob(job), dirty: true, machines: map[string]bool{}}
+	return records{format: format, main: main, openShard: main, shardOf: map[string]*shard{},
+		parts: map[int]*shard{}, pages: map[int]*shard{}, oldPages: map[int]*shard{}}
 }
 
 // restoreNames takes in the names that a record holds.
-func (j *Job) restoreNames(c *cell, machines []string) {
+func (j *Job) restoreNames(c *shard, machines []string) {
 	if c.machines == nil {
 		c.machines = map[string]bool{}
 	}
 	for _, m := range machines {
-		j.Doubts[m] = true
-		if j.home[m] == nil {
+		j.Unconfirmed[m] = true
+		if j.shardOf[m] == nil {
 			j.put(c, m, true)
 		}
 	}
@@ -84,7 +84,7 @@
 }
 
 // pageOf gives the record that a task's completion is kept in.
-func (j *Job) pageOf(task int) *cell {
+func (j *Job) pageOf(task int) *shard {
 	pages, kind, n := j.pages, byte(kindPage), task/pageTasks
 	switch {
 	case j.format == FormatOld:
@@ -96,15 +96,15 @@
 		return j.main
 	}
 	if pages[n] == nil {
-		pages[n] = &cell{key: keyPart(j.Spec.ID, kind, n)}
+		pages[n] = &shard{key: keyPart(j.Spec.ID, kind, n)}
 	}
 	return pages[n]
 }
 
-// turn begins to turn a job into the new form. Its own record is written only
+// migrate begins to migrate a job into the new form. Its own record is written only
 // after all else: until then it is the old one that names all machines.
-func (j *Job) turn(room roomFor) {
-	j.format, j.turning = FormatNew, j.stored
+func (j *Job) migrate(room roomFor) {
+	j.format, j.migrating = FormatNew, j.stored
 	j.main.dirty = true
 	for p := 0; p*pageTasks < j.Spec.Tasks && j.Spec.Tasks > inlineTasks; p++ {
 		if !bitset(j.done.page(p, pageTasks)).empty() {
@@ -125,7 +125,7 @@
 	for _, m := range over {
 		durable := j.main.machines[m]
 		j.drop(m)
-		j.put(j.cellFor(m), m, durable)
+		j.put(j.shardFor(m), m, durable)
 	}
 }
 
@@ -137,39 +137,39 @@
 	}
 }
 
-func (j *Job) inUse(machine string) bool { return j.on[machine] > 0 || j.Doubts[machine] }
+func (j *Job) inUse(machine string) bool { return j.on[machine] > 0 || j.Unconfirmed[machine] }
 
-func (j *Job) put(c *cell, machine string, durable bool) {
+func (j *Job) put(c *shard, machine string, durable bool) {
 	c.machines[machine] = durable
 	c.names += nameSize(machine)
 	c.dirty = true
-	j.home[machine] = c
+	j.shardOf[machine] = c
 }
 
 // drop takes a name out. The record that holds it need not be written for that.
 func (j *Job) drop(machine string) {
-	c := j.home[machine]
+	c := j.shardOf[machine]
 	delete(c.machines, machine)
 	c.names -= nameSize(machine)
-	delete(j.home, machine)
+	delete(j.shardOf, machine)
 }
 
 // name adds a machine to the records in the making, and tells whether it was
 // missing there.
 func (j *Job) name(machine string) bool {
-	if j.home[machine] != nil {
+	if j.shardOf[machine] != nil {
 		return false
 	}
-	j.put(j.cellFor(machine), machine, false)
+	j.put(j.shardFor(machine), machine, false)
 	return true
 }
 
-// cellFor chooses a record for a new name: the one that got the last, else one
+// shardFor chooses a record for a new name: the one that got the last, else one
 // in which names that are not needed any more leave room, else a new part.
-func (j *Job) cellFor(machine string) *cell {
+func (j *Job) shardFor(machine string) *shard {
 	size := nameSize(machine)
-	if j.format == FormatOld || j.filling.names+size <= j.filling.room {
-		return j.filling
+	if j.format == FormatOld || j.openShard.names+size <= j.openShard.room {
+		return j.openShard
 	}
 	best := j.main
 	for n := 0; n <= len(j.parts); n++ {
@@ -194,21 +194,21 @@
 		for j.parts[n] != nil {
 			n++
 		}
-		best = &cell{key: keyPart(j.Spec.ID, kindNames, n), machines: map[string]bool{}, room: j.partRoom}
+		best = &shard{key: keyPart(j.Spec.ID, kindNames, n), machines: map[string]bool{}, room: j.partRoom}
 		j.parts[n] = best
 	}
-	j.filling = best
+	j.openShard = best
 	return best
 }
 
 // CanName tells whether the job's records have room to name the machine.
 func (j *Job) CanName(machine string) bool {
-	return j.format != FormatOld || j.main.names+nameSize(machine) <= j.main.room || j.home[machine] != nil
+	return j.format != FormatOld || j.main.names+nameSize(machine) <= j.main.room || j.shardOf[machine] != nil
 }
 
 // MayStartOn tells whether a record durably names the machine, so that a later
 // leader would know to look for the job's tasks there.
 func (j *Job) MayStartOn(machine string) bool {
-	c := j.home[machine]
+	c := j.shardOf[machine]
 	return j.stored && c != nil && c.machines[machine]
 }
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -110,8 +110,8 @@
 	s.set()
 }
 
-// Tighten keeps within the limits to come from now on.
-func (s *Store) Tighten() {
+// ApplyNextLimits keeps within the limits to come from now on.
+func (s *Store) ApplyNextLimits() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.limits.Next != nil {
--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -51,7 +51,7 @@
 	controller := testController(term)
 	send := func(machine string, seq uint64) <-chan int {
 		status := make(chan int, 1)
-		body := beatBody(&protocol.Report{Machine: machine, Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}, nil)
+		body := encodeReport(&protocol.Report{Machine: machine, Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}, nil)
 		go func() {
 			status <- controller.report(t.Context(), transport.Request{Body: body}).Status
 		}()
@@ -75,7 +75,7 @@
 	spec := *modelSpec("j-000001")
 	spec.Tasks = 1
 	job := term.ledger.NewJob(spec, term.Clock.Wall(), term.Clock.Steady())
-	accepted := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, term.Clock.Steady())
+	accepted := term.ledger.BuildSave("1-1", term.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, term.Clock.Steady())
 	term.ledger.Applied(accepted, 1)
 	term.ledger.Assign(job, term.ledger.Machines["i-1"], 1, term.Clock.Steady())
 	waiting := send("i-1", 2)
--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -71,12 +71,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoints = map[string]string{}
-	for _, id := range t.ledger.DoubtfulMachines() {
+	for _, id := range t.ledger.UnconfirmedMachines() {
 		if m := t.ledger.Machines[id]; m != nil && !m.Seen && !m.Releasing && m.Endpoint != "" {
 			endpoints[id] = m.Endpoint
 		}
 	}
-	return t.ledger.Doubts() > 0, endpoints
+	return t.ledger.UnconfirmedCount() > 0, endpoints
 }
 
 func (t *Term) announce(ctx context.Context, caller *transport.Caller, id, endpoint string, limit units.Micros) {
--- a/internal/coordination/announce_test.go
+++ b/internal/coordination/announce_test.go
@@ -23,12 +23,12 @@
 	j := term.ledger.Jobs["j-000001"]
 	const last = "i-000099"
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(beatBody(beat(last, 1, 1, term.number), nil))
+		_, _ = w.Write(encodeReport(beat(last, 1, 1, term.number), nil))
 	}))
 	defer worker.Close()
 	doubt := func(id, endpoint string) {
 		term.ledger.Machine(id, "m", "a", true, clock.now).Endpoint = endpoint
-		term.ledger.Doubt(j, id)
+		term.ledger.MarkUnconfirmed(j, id)
 	}
 	for i := range 32 {
 		doubt(fmt.Sprintf("i-%06d", i), hanging.Addr().String())
@@ -47,7 +47,7 @@
 	settled := func() bool {
 		term.mu.Lock()
 		defer term.mu.Unlock()
-		return !term.ledger.Doubtful(last)
+		return !term.ledger.IsUnconfirmed(last)
 	}
 	for deadline := time.Now().Add(10 * time.Second); !settled(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -29,7 +29,7 @@
 		term.ledger.NewJob(spec, clock.now, clock.now)
 	}
 	for {
-		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, clock.now)
+		s := term.ledger.BuildSave("1-1", term.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, clock.now)
 		if s == nil {
 			break
 		}
@@ -106,7 +106,7 @@
 			if bolts[r.Machine] == nil {
 				bolts[r.Machine] = listOf(r)
 			}
-			status, _, err := client.Do(ctx, http.MethodPost, protocol.PathReport, beatBody(r, bolts[r.Machine]), 5*units.Second)
+			status, _, err := client.Do(ctx, http.MethodPost, protocol.PathReport, encodeReport(r, bolts[r.Machine]), 5*units.Second)
 			if err != nil || status != http.StatusOK {
 				b.Fatal(status, err)
 			}
@@ -123,8 +123,8 @@
 	return protocol.Encode(bolts)
 }
 
-// beatBody is a report as a worker sends it.
-func beatBody(r *protocol.Report, bolts protocol.Raw) []byte {
+// encodeReport is a report as a worker sends it.
+func encodeReport(r *protocol.Report, bolts protocol.Raw) []byte {
 	return protocol.Encode(map[string]any{"dune": r.Machine, "endpoint": "10.1.0.1:9000", "loom": r.Type, "yard": r.Zone, "borrowed": r.Spot,
 		"shift": r.Session, "tally": r.Seq, "baton": r.Term, "recall_s": nil, "bolts": bolts})
 }
@@ -155,7 +155,7 @@
 		j.Changed(units.Second, true)
 	}
 	for {
-		s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, units.Second)
+		s := term.ledger.BuildSave("1-1", term.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, units.Second)
 		if s == nil {
 			return rows
 		}
--- /dev/null
+++ b/internal/coordination/commands.go
@@ -0,0 +1,90 @@
+package coordination
+
+import (
+	"sort"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// noteCommand notes the first command of an answer, for heard.
+func noteCommand(m *bookkeeping.Machine, out []protocol.Command, key bookkeeping.AttemptKey) {
+	if len(out) == 1 {
+		m.LastCommand = bookkeeping.SentCommand{Given: true, Verb: string(out[0].Verb), Key: key}
+	}
+}
+
+// undurable gives a channel to wait on when some start for the machine lacks
+// the save that must come first.
+func (t *Term) undurable(m *bookkeeping.Machine) <-chan struct{} {
+	if m.Term != t.number {
+		return nil
+	}
+	for _, a := range m.Attempts {
+		if a.Stage == bookkeeping.Assigned && !a.Job.MayStartOn(m.ID) {
+			return a.Job.Saved()
+		}
+	}
+	return nil
+}
+
+// commands works out what the machine is to do: what is wanted of it minus
+// what its report shows.
+func (t *Term) commands(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) []protocol.Command {
+	out := []protocol.Command{}
+	for i := range r.Tasks {
+		task := &r.Tasks[i]
+		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
+		if c, ok := t.command(m.Attempts[key], task); ok {
+			c.Task, c.Attempt = protocol.TaskName(task.Job, task.Index), task.Attempt
+			out = append(out, c)
+			noteCommand(m, out, key)
+		}
+	}
+	var starts []*bookkeeping.Attempt
+	for _, a := range m.Attempts {
+		if a.Stage == bookkeeping.Assigned {
+			starts = append(starts, a)
+		}
+	}
+	sort.Slice(starts, func(i, k int) bool { return starts[i].Number < starts[k].Number })
+	for _, a := range starts {
+		switch {
+		case a.Stop || a.Job.Cancelled || a.Job.IsDone(a.Index):
+			t.ledger.Gone(a, now) // it was never sent
+			if a.Job.Cancelled {
+				a.Job.Changed(now, true)
+				signal(t.saveSignal)
+			}
+		case m.Term == t.number && a.Job.MayStartOn(m.ID) && len(out) < protocol.MaxCommands:
+			a.Stage, a.SentSeq = bookkeeping.Sent, r.Seq
+			out = append(out, protocol.Command{Verb: protocol.Start, Task: a.Task(), Attempt: a.Number})
+			noteCommand(m, out, bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number})
+			t.trace("start sent", a)
+		}
+	}
+	return out
+}
+
+// command works out what a machine is to do about a task that it reports, if anything.
+func (t *Term) command(a *bookkeeping.Attempt, task *protocol.TaskReport) (protocol.Command, bool) {
+	switch {
+	case task.Stage == protocol.TaskExited:
+		// A completion that is not durable stays with the worker: a later
+		// leader must be able to learn of it.
+		j := t.ledger.Jobs[task.Job]
+		forget := j == nil || j.Cancelled || j.Service() || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index)
+		return protocol.Command{Verb: protocol.Forget}, forget
+	case a == nil, a.Job.Cancelled:
+		return stopCommand("", 0, 0), true
+	case a.Stop && task.Stage != protocol.TaskSaving:
+		return stopCommand("", 0, a.Grace), true
+	}
+	return protocol.Command{}, false
+}
+
+func stopCommand(task string, attempt uint64, grace units.Micros) protocol.Command {
+	g := grace.Seconds()
+	return protocol.Command{Verb: protocol.Stop, Task: task, Attempt: attempt, Grace: &g}
+}
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -63,7 +63,7 @@
 func (c *Controller) sawRenewal(version uint64, now units.Micros) {
 	l := c.deps.Lease
 	l.answeredAt = now
-	l.watch.saw(bookkeeping.Lease{Holder: "leader", Incarnation: 3}, version, now)
+	l.monitor.observe(bookkeeping.Lease{Holder: "leader", Incarnation: 3}, version, now)
 }
 
 // While the leader refuses this node's links and renews its lease, workers are
@@ -237,7 +237,7 @@
 	c := NewController(s, Environment{Policy: config.DefaultPolicy(), Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Log: log})
 	l := c.deps.Lease
 	l.answeredAt = clock.now
-	l.watch.saw(bookkeeping.Lease{Holder: s.Node, Incarnation: 3}, 1, clock.now)
+	l.monitor.observe(bookkeeping.Lease{Holder: s.Node, Incarnation: 3}, 1, clock.now)
 	clock.now += recordAge + units.Millisecond
 	go c.peers.Run(t.Context())
 	for deadline := time.Now().Add(10 * time.Second); c.whoLeads() != "next"; time.Sleep(5 * time.Millisecond) {
--- a/internal/coordination/lag_test.go
+++ b/internal/coordination/delay_test.go
@@ -13,16 +13,16 @@
 // over; being late all the time is, within a few seconds.
 func TestLagThatLasts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var w lagWatch
+		var w delayMonitor
 		now := 100 * units.Second
 		for range rapid.IntRange(1, 20).Draw(t, "pauses") {
 			by := units.Micros(rapid.IntRange(0, 2000).Draw(t, "pause")) * units.Millisecond
-			now += lagTick + by
+			now += delayTick + by
 			if w.late(by, now) {
 				t.Fatal("one pause is taken for falling behind")
 			}
 			for range 24 { // and then on time
-				now += lagTick
+				now += delayTick
 				if w.late(0, now) {
 					t.Fatal("one pause is taken for falling behind")
 				}
@@ -31,7 +31,7 @@
 		by := units.Micros(rapid.IntRange(800, 4000).Draw(t, "late by")) * units.Millisecond
 		began := now
 		for !w.late(by, now) {
-			if now += lagTick + by; now-began > 30*units.Second {
+			if now += delayTick + by; now-began > 30*units.Second {
 				t.Fatalf("late by %v all the time, and not noticed", by)
 			}
 		}
@@ -48,7 +48,7 @@
 	}
 	next := testTerm(2, clock).Lease
 	next.handedAt = lease.handedAt // as read from the record
-	clock.now += handPause - units.Second
+	clock.now += handOverPause - units.Second
 	if next.HandOver(clock.now) || !next.Valid(2) {
 		t.Error("handed over again at once")
 	}
@@ -70,7 +70,7 @@
 	}
 	report(0, 30, 1)
 	clock.now += 20 * units.Second
-	term.wasLate(clock.now)
+	term.noteDelay(clock.now)
 	report(0, 25, 2)
 	if silent := term.silentMachines(clock.now); len(silent) != 0 {
 		t.Errorf("to be released: %v", silent)
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -26,21 +26,21 @@
 	directWorth   = units.Second // a report that is due sooner is waited for
 )
 
-// hurry notes that a machine is to be told something before its next report:
+// requestDirect notes that a machine is to be told something before its next report:
 // which tasks to stop, and, if a task of a job waits to be started there, to
 // report.
-func (t *Term) hurry(m *bookkeeping.Machine, starts *bookkeeping.Job, now units.Micros) {
+func (t *Term) requestDirect(m *bookkeeping.Machine, starts *bookkeeping.Job, now units.Micros) {
 	if m.Endpoint == "" || m.LastAnswered+t.Settings.Fleet.Workers.Report()-now <= directWorth {
 		return
 	}
-	if t.hurried[m.ID] == nil || starts != nil {
-		t.hurried[m.ID] = &hurried{starts}
+	if t.directRequests[m.ID] == nil || starts != nil {
+		t.directRequests[m.ID] = &directRequest{starts}
 	}
-	kick(t.kickDirect)
+	signal(t.directSignal)
 }
 
-// hurried is why a machine is told something before its next report.
-type hurried struct{ starts *bookkeeping.Job }
+// directRequest is why a machine is told something before its next report.
+type directRequest struct{ starts *bookkeeping.Job }
 
 // directLoop tells machines what cannot wait.
 func (t *Term) directLoop(ctx context.Context) {
@@ -52,11 +52,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.kickDirect:
+		case <-t.directSignal:
 		}
 		t.mu.Lock()
-		machines := t.hurried
-		t.hurried = map[string]*hurried{}
+		machines := t.directRequests
+		t.directRequests = map[string]*directRequest{}
 		t.mu.Unlock()
 		for _, id := range sortedKeys(machines) {
 			select {
--- /dev/null
+++ b/internal/coordination/finals.go
@@ -0,0 +1,76 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+func (t *Term) readFinal(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
+	return ReadFinal(ctx, t.Store, id)
+}
+
+// ReadFinal reads a finished job's record.
+func ReadFinal(ctx context.Context, store *bookkeeping.Store, id string) (bookkeeping.Final, bool, error) {
+	var f bookkeeping.Final
+	item, ok, err := store.Get(ctx, bookkeeping.KeyFinal(id), 1200*units.Millisecond)
+	if err != nil || !ok {
+		return f, false, err
+	}
+	if err := protocol.Decode(item.Value, &f); err != nil || !f.Stage.Final() {
+		return f, false, fmt.Errorf("record %s is not readable: %w", item.Key, err)
+	}
+	return f, true, nil
+}
+
+// finalCache keeps the final states of the jobs asked about last, with a
+// bound on their number.
+type finalCache struct {
+	most     int
+	old, new map[string]bookkeeping.Final
+}
+
+func newFinalCache(most int) *finalCache {
+	return &finalCache{most: most, old: map[string]bookkeeping.Final{}, new: map[string]bookkeeping.Final{}}
+}
+
+func (c *finalCache) put(id string, f bookkeeping.Final) {
+	if len(c.new) >= c.most/2 {
+		c.old, c.new = c.new, map[string]bookkeeping.Final{}
+	}
+	c.new[id] = f
+}
+
+func (c *finalCache) get(id string) (bookkeeping.Final, bool) {
+	if f, ok := c.new[id]; ok {
+		return f, true
+	}
+	f, ok := c.old[id]
+	if ok {
+		c.put(id, f)
+	}
+	return f, ok
+}
+
+// final finds the final state of a job that is not live.
+func (t *Term) final(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
+	t.mu.Lock()
+	f, ok := t.finals.get(id)
+	t.mu.Unlock()
+	if ok {
+		return f, true, nil
+	}
+	if !t.Store.Spare() {
+		return f, false, bookkeeping.ErrRefused // questions about unknown jobs must not crowd out the rest
+	}
+	f, ok, err := t.readFinal(ctx, id)
+	if ok {
+		t.mu.Lock()
+		t.finals.put(id, f)
+		t.mu.Unlock()
+	}
+	return f, ok, err
+}
--- a/internal/coordination/format.go
+++ b/internal/coordination/format.go
@@ -95,7 +95,7 @@
 	}
 	if level > f.Level() {
 		f.level.Store(int64(level))
-		f.store.Tighten()
+		f.store.ApplyNextLimits()
 		f.log.Info("fleet format", "format", level)
 	}
 }
--- a/internal/coordination/format_test.go
+++ b/internal/coordination/format_test.go
@@ -106,7 +106,7 @@
 		{bookkeeping.FormatNew, modelLimit, 0}, {bookkeeping.FormatNew, modelLimit + 1, http.StatusUnprocessableEntity}} {
 		term.Format.level.Store(int64(c.level))
 		service.Tasks = c.tasks
-		if got, why := term.judge(&service); got != c.want {
+		if got, why := term.checkAdmissible(&service); got != c.want {
 			t.Errorf("format %d, %d tasks: %d %s, want %d", c.level, c.tasks, got, why, c.want)
 		}
 	}
@@ -163,7 +163,7 @@
 		for i := from; i < to; i++ {
 			term.ledger.Assign(term.ledger.Jobs[large], term.ledger.Machine(fmt.Sprintf("i-%06d", i), "m", "a", true, 0), uint64(i+1), 0)
 		}
-		kick(term.kickSave)
+		signal(term.saveSignal)
 	}
 	named := func(to int) func() bool {
 		return func() bool { return term.ledger.Jobs[large].MayStartOn(fmt.Sprintf("i-%06d", to-1)) }
@@ -188,7 +188,7 @@
 		term.ledger.Done(term.ledger.Jobs[large], i, 0)
 	}
 	term.mu.Unlock()
-	kick(term.kickSave)
+	signal(term.saveSignal)
 	settled(func() bool { return term.ledger.Jobs[large] == nil })
 	for deadline := time.Now().Add(20 * time.Second); len(s.Keys(bookkeeping.KeyJob(large))) > 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -30,7 +30,7 @@
 // save carries out all saves that are due.
 func (t *Term) save() {
 	for {
-		s := t.ledger.BuildSave(t.saveID(), t.heads, bookkeeping.SaveLimits{Tasks: true}, t.Clock.Steady())
+		s := t.ledger.BuildSave(t.saveID(), t.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, t.Clock.Steady())
 		if s == nil {
 			return
 		}
@@ -121,7 +121,7 @@
 			}
 		}
 	}
-	if starts == 0 || starts > deafAfter*modelMachine {
+	if starts == 0 || starts > maxUndelivered*modelMachine {
 		t.Errorf("%d starts were sent to a machine that never carried one out", starts)
 	}
 	if m := term.ledger.Machines[deaf]; term.accepts(m, clock.now) || len(m.Attempts) > 0 {
@@ -149,21 +149,21 @@
 		report(1)
 	}
 	m := report(1)
-	if m.Unheard < deafAfter {
+	if m.Undelivered < maxUndelivered {
 		t.Fatal("the machine is not thought deaf")
 	}
 	// Deaf still: a new session each lease.
 	for session := uint64(2); session < 5; session++ {
 		for range 8 {
 			clock.now += modelLease / 8
-			if report(session); m.Unheard < deafAfter {
+			if report(session); m.Undelivered < maxUndelivered {
 				t.Fatal("a machine that begins a new session with each lease is thought to hear")
 			}
 		}
 	}
 	for range 12 {
 		clock.now += modelLease / 8
-		if report(4); m.Unheard == 0 && term.accepts(m, clock.now) {
+		if report(4); m.Undelivered == 0 && term.accepts(m, clock.now) {
 			return
 		}
 	}
@@ -192,8 +192,8 @@
 			}
 		}
 	}
-	if m := term.ledger.Machines["i-000001"]; m.Unheard >= deafAfter || !term.accepts(m, clock.now) {
-		t.Errorf("%d answers count as unheard", m.Unheard)
+	if m := term.ledger.Machines["i-000001"]; m.Undelivered >= maxUndelivered || !term.accepts(m, clock.now) {
+		t.Errorf("%d answers count as unheard", m.Undelivered)
 	}
 }
 
@@ -213,7 +213,7 @@
 	// Of one that was released in this term, however late.
 	term.observe(beat("i-000002", 1, 1, 7), clock.now)
 	term.ledger.Remove(term.ledger.Machines["i-000002"], clock.now)
-	term.bury("i-000002", clock.now)
+	term.markReleased("i-000002", clock.now)
 	clock.now += 600 * units.Second
 	if m := term.observe(beat("i-000002", 1, 9, 7), clock.now); m != nil || term.ledger.Machines["i-000002"] != nil {
 		t.Error("a released machine is back")
@@ -229,9 +229,9 @@
 	}
 	// A doubt stays whatever an earlier term's report says.
 	j := term.ledger.Jobs["j-000001"]
-	term.ledger.Doubt(j, "i-000004")
+	term.ledger.MarkUnconfirmed(j, "i-000004")
 	term.observe(beat("i-000004", 1, 1, 6), clock.now)
-	if !j.Doubts["i-000004"] {
+	if !j.Unconfirmed["i-000004"] {
 		t.Error("a report from before this term settles a doubt")
 	}
 }
@@ -307,10 +307,10 @@
 func TestAnnouncementIsOnlyAFirstWord(t *testing.T) {
 	term, clock := guardTerm(t, 2)
 	j := term.ledger.Jobs["j-000001"]
-	term.ledger.Doubt(j, "i-000001")
+	term.ledger.MarkUnconfirmed(j, "i-000001")
 	term.ledger.Machine("i-000001", "m", "a", true, clock.now)
 	term.announced(beat("i-000001", 1, 5, 7))
-	if len(j.Doubts) > 0 {
+	if len(j.Unconfirmed) > 0 {
 		t.Error("a report that shows this term does not settle the doubt")
 	}
 	if out := term.exchange(beat("i-000001", 1, 6, 7)); len(out) != 2 || out[0].Verb != protocol.Start {
@@ -349,9 +349,9 @@
 	j := term.ledger.Jobs["j-000001"]
 	j.Spec.Priority = protocol.High
 	for range 20 {
-		term.turnover.pass(clock.now)
+		term.completions.pass(clock.now)
 		clock.now += units.Second
-		term.turnover.freed = cpus(4).CPU // a second, 8 in the patience of 2 s
+		term.completions.freed = cpus(4).CPU // a second, 8 in the patience of 2 s
 	}
 	j.Since = clock.now
 	if term.patient(j, clock.now) {
@@ -375,7 +375,7 @@
 		for i := range jobs {
 			j := term.ledger.NewJob(*modelSpec(fmt.Sprintf("j-%06d", i+2)), clock.now, clock.now)
 			for k := range machines {
-				term.ledger.Doubt(j, fmt.Sprintf("i-%06d", k))
+				term.ledger.MarkUnconfirmed(j, fmt.Sprintf("i-%06d", k))
 			}
 		}
 		return testing.AllocsPerRun(20, func() { term.expire(clock.now) })
@@ -446,20 +446,20 @@
 			spec := *modelSpec(fmt.Sprintf("j-%06d", i+2))
 			j := l.NewJob(spec, clock.now, clock.now)
 			for _, k := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 12).Draw(rt, "machines") {
-				l.Doubt(j, fmt.Sprintf("i-%06d", k))
+				l.MarkUnconfirmed(j, fmt.Sprintf("i-%06d", k))
 			}
-			named[spec.ID] = j.Doubts
+			named[spec.ID] = j.Unconfirmed
 		}
 		for _, k := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}).Draw(rt, "order") {
 			id := fmt.Sprintf("i-%06d", k)
 			want := 0
 			for _, j := range l.Jobs {
-				if len(j.Doubts) > 0 {
+				if len(j.Unconfirmed) > 0 {
 					want++
 				}
 			}
 			got := 0
-			for range l.InDoubt() {
+			for range l.UnconfirmedJobs() {
 				got++
 			}
 			if got != want {
@@ -469,13 +469,13 @@
 				l.Drop(jobs[0])
 				delete(named, jobs[0])
 			}
-			l.Settle(id)
-			if l.Doubtful(id) {
+			l.Confirm(id)
+			if l.IsUnconfirmed(id) {
 				rt.Fatal("a settled machine is in doubt")
 			}
 		}
-		if l.Doubts() != 0 || len(l.DoubtfulMachines()) != 0 {
-			rt.Fatalf("still in doubt: %v", l.DoubtfulMachines())
+		if l.UnconfirmedCount() != 0 || len(l.UnconfirmedMachines()) != 0 {
+			rt.Fatalf("still in doubt: %v", l.UnconfirmedMachines())
 		}
 	})
 }
@@ -535,7 +535,7 @@
 				j := term.ledger.Jobs["j-000299"]
 				term.ledger.Done(j, done, units.Second)
 				j.Changed(units.Second, true)
-				s := term.ledger.BuildSave("1-1", term.heads, bookkeeping.SaveLimits{}, units.Second)
+				s := term.ledger.BuildSave("1-1", term.bucketVersions, bookkeeping.SaveLimits{}, units.Second)
 				term.ledger.Applied(s, 1)
 			}),
 		}
@@ -562,7 +562,7 @@
 	clock.now += units.Second
 	term.ledger.NewJob(*modelSpec("j-000100"), clock.now, clock.now)
 	term.cancelJob(term.ledger.Jobs["j-000030"])
-	s := term.ledger.BuildSave("x", term.heads, bookkeeping.SaveLimits{}, clock.now)
+	s := term.ledger.BuildSave("x", term.bucketVersions, bookkeeping.SaveLimits{}, clock.now)
 	if first := s.Jobs()[:2]; !slices.Contains(first, "j-000100") || !slices.Contains(first, "j-000030") {
 		t.Errorf("saved first: %v", first)
 	}
--- a/internal/coordination/spare.go
+++ b/internal/coordination/headroom.go
@@ -15,19 +15,19 @@
 // replicas in each zone: little next to the fleet.
 
 const (
-	spareReplicas = 2  // in each zone
-	spareShare    = 32 // of the fleet at most
+	headroomPerZone    = 2  // in each zone
+	headroomFleetShare = 32 // of the fleet at most
 	// In the fleet as a whole room is rented for one replica more in so many that
 	// there are.
-	spareOfServices = 3
+	headroomServiceShare = 3
 )
 
-// keepRoom chooses the machines on which room for one more replica like a given
+// reserveHeadroom chooses the machines on which room for one more replica like a given
 // one is kept from everything else: in each zone those that have it already, else
 // those where it comes soonest, among them the ones that were chosen before. Types
 // of which a waiting task needs nearly a whole machine are left to such tasks, where
 // there are others.
-func keepRoom(machines []MachineView, jobs []JobView, like *protocol.JobSpec, before func(k int) bool) []int {
+func reserveHeadroom(machines []MachineView, jobs []JobView, like *protocol.JobSpec, before func(k int) bool) []int {
 	if like == nil {
 		return nil
 	}
@@ -53,8 +53,8 @@
 			byZone[m.Zone] = append(byZone[m.Zone], k)
 		}
 	}
-	each := spareReplicas
-	if all := like.Need.CPU * spareShare * units.Amount(len(byZone)); all > 0 {
+	each := headroomPerZone
+	if all := like.Need.CPU * headroomFleetShare * units.Amount(len(byZone)); all > 0 {
 		each = int(min(units.Amount(each), fleet/all))
 	}
 	number := func(b bool) int {
@@ -80,9 +80,9 @@
 	return out
 }
 
-// spareLike gives the urgent service whose replicas take most, nil if there is
+// headroomReplica gives the urgent service whose replicas take most, nil if there is
 // none.
-func (t *Term) spareLike() *protocol.JobSpec {
+func (t *Term) headroomReplica() *protocol.JobSpec {
 	var like *protocol.JobSpec
 	for _, j := range t.ledger.Jobs {
 		s := &j.Spec
@@ -94,30 +94,30 @@
 	return like
 }
 
-// spareCount is how many replicas more than there are the fleet is to have room
+// headroomReplicas is how many replicas more than there are the fleet is to have room
 // for: enough in each zone for a new service, and for the loss of some machines
 // together, since renting others takes a boot.
-func (t *Term) spareCount(like *protocol.JobSpec) int {
+func (t *Term) headroomReplicas(like *protocol.JobSpec) int {
 	var used units.Amount
 	for _, j := range t.ledger.Jobs {
 		if j.Service() && !j.Cancelled {
 			used += j.Spec.Need.CPU * units.Amount(j.Spec.Tasks)
 		}
 	}
-	n := spareReplicas * len(t.Settings.Fleet.Zones)
+	n := headroomPerZone * len(t.Settings.Fleet.Zones)
 	if like.Need.CPU > 0 {
-		n = max(n, int(used/like.Need.CPU/spareOfServices))
+		n = max(n, int(used/like.Need.CPU/headroomServiceShare))
 	}
 	return n
 }
 
-// keep notes on the machines of a snapshot what room is kept on them.
-func (t *Term) keep(s *Snapshot, machines []*bookkeeping.Machine) {
-	like := t.spareLike()
-	kept := keepRoom(s.Machines, s.Jobs, like, func(k int) bool { return t.kept[machines[k]] != units.Resources{} })
-	clear(t.kept)
+// updateHeadroom notes on the machines of a snapshot what room is kept on them.
+func (t *Term) updateHeadroom(s *Snapshot, machines []*bookkeeping.Machine) {
+	like := t.headroomReplica()
+	kept := reserveHeadroom(s.Machines, s.Jobs, like, func(k int) bool { return t.headroom[machines[k]] != units.Resources{} })
+	clear(t.headroom)
 	for _, k := range kept {
-		s.Machines[k].Kept = like.Need
-		t.kept[machines[k]] = like.Need
+		s.Machines[k].Headroom = like.Need
+		t.headroom[machines[k]] = like.Need
 	}
 }
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -70,7 +70,7 @@
 	if lease.Unanswered() >= lease.timing.Length || !store.Spare() || !store.WritesSpare() {
 		return refused
 	}
-	if status, _ := judge(spec, c.deps.Settings, c.machineTypes(ctx), c.deps.Format.Level()); status != 0 {
+	if status, _ := checkRunnable(spec, c.deps.Settings, c.machineTypes(ctx), c.deps.Format.Level()); status != 0 {
 		return refused
 	}
 	share := jobMemory(c.deps.Settings) / int64(1+len(c.deps.Settings.Others))
@@ -141,7 +141,7 @@
 	}
 	t.mu.Unlock()
 	if len(items) > 0 {
-		kick(t.kickSave)
+		signal(t.saveSignal)
 	}
 	if len(over.Then) > 0 {
 		if _, err := t.Store.Commit(ctx, over, false, stateCall); err != nil {
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -56,10 +56,10 @@
 	return LeaseTiming{Length: length, Renew: length / 5, Poll: 400 * units.Millisecond, Margin: 300 * units.Millisecond}
 }
 
-// watch is a follower's view of the fleet lease record. It never compares
+// leaseMonitor is a follower's view of the fleet lease record. It never compares
 // clocks of different machines: what counts is for how long this node itself
 // has seen the record unchanged.
-type watch struct {
+type leaseMonitor struct {
 	timing  LeaseTiming
 	record  bookkeeping.Lease
 	version uint64
@@ -69,8 +69,8 @@
 	broken  bool         // the last read failed
 }
 
-// saw takes in a read that was answered at now.
-func (w *watch) saw(record bookkeeping.Lease, version uint64, now units.Micros) {
+// observe takes in a read that was answered at now.
+func (w *leaseMonitor) observe(record bookkeeping.Lease, version uint64, now units.Micros) {
 	if w.broken {
 		w.broken, w.grace = false, now+800*units.Millisecond
 	}
@@ -79,13 +79,13 @@
 	}
 }
 
-// failed takes in a read that was not answered.
-func (w *watch) failed() { w.broken = true }
+// observeFailure takes in a read that was not answered.
+func (w *leaseMonitor) observeFailure() { w.broken = true }
 
 // claimable tells whether the record may be claimed: there is none, its
 // holder gave it up or was this node's former process, or it has not changed
 // for the whole lease.
-func (w *watch) claimable(self string, now units.Micros) bool {
+func (w *leaseMonitor) claimable(self string, now units.Micros) bool {
 	switch {
 	case !w.seen || w.broken || now < w.grace:
 		return false
@@ -111,7 +111,7 @@
 	Able func() bool
 
 	mu         sync.Mutex
-	watch      watch
+	monitor    leaseMonitor
 	holding    bool
 	version    uint64
 	term       uint64
@@ -127,7 +127,7 @@
 // NewFleetLease makes the lease of a node.
 func NewFleetLease(node string, store *bookkeeping.Store, clock units.Clock, timing LeaseTiming, random *rand.Rand, log *slog.Logger) *FleetLease {
 	return &FleetLease{node: node, store: store, clock: clock, timing: timing, random: random, log: log,
-		nonce: fmt.Sprintf("%s-%016x", node, random.Uint64()), watch: watch{timing: timing}, answeredAt: clock.Steady(),
+		nonce: fmt.Sprintf("%s-%016x", node, random.Uint64()), monitor: leaseMonitor{timing: timing}, answeredAt: clock.Steady(),
 		Connected: func() bool { return true }}
 }
 
@@ -155,10 +155,10 @@
 	if f.holding {
 		return f.node
 	}
-	if !f.watch.seen || f.watch.record.Resigned {
+	if !f.monitor.seen || f.monitor.record.Resigned {
 		return ""
 	}
-	return f.watch.record.Holder
+	return f.monitor.record.Holder
 }
 
 // Renewed tells whether another node surely led a moment ago: this node has
@@ -166,8 +166,8 @@
 func (f *FleetLease) Renewed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.holding && f.watch.seen && !f.watch.broken && !f.watch.record.Resigned && f.watch.version != 0 &&
-		f.clock.Steady()-f.watch.since < f.timing.Length
+	return !f.holding && f.monitor.seen && !f.monitor.broken && !f.monitor.record.Resigned && f.monitor.version != 0 &&
+		f.clock.Steady()-f.monitor.since < f.timing.Length
 }
 
 // Unanswered is for how long the state service has answered neither a read nor
@@ -198,7 +198,7 @@
 func (f *FleetLease) HandOver(wall units.Micros) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.holding || f.resigning || wall-f.handedAt < handPause {
+	if !f.holding || f.resigning || wall-f.handedAt < handOverPause {
 		return false
 	}
 	f.handedAt, f.resigning = wall, true
@@ -351,7 +351,7 @@
 		return 0
 	}
 	f.lose("claimed by " + rec.Holder)
-	f.watch.saw(rec, v, f.clock.Steady())
+	f.monitor.observe(rec, v, f.clock.Steady())
 	return 0
 }
 
@@ -362,7 +362,7 @@
 func (f *FleetLease) lose(why string) {
 	f.log.Info("fleet lease lost", "term", f.term, "why", why)
 	f.holding, f.resigning, f.validUntil = false, false, 0
-	f.watch = watch{timing: f.timing}
+	f.monitor = leaseMonitor{timing: f.timing}
 }
 
 // follow reads the record once and claims it when that is due.
@@ -371,7 +371,7 @@
 	f.mu.Lock()
 	now := f.clock.Steady()
 	if err != nil {
-		f.watch.failed()
+		f.monitor.observeFailure()
 		f.mu.Unlock()
 		if !errors.Is(err, bookkeeping.ErrRefused) && !errors.Is(err, bookkeeping.ErrUncertain) {
 			f.log.Error("fleet lease not readable", "error", err)
@@ -379,9 +379,9 @@
 		return f.timing.Poll
 	}
 	f.answeredAt = now
-	f.watch.saw(rec, version, now)
-	due := f.watch.claimable(f.node, now) && now >= f.notBefore && (f.Able == nil || f.Able())
-	rec, version, since := f.watch.record, f.watch.version, f.watch.since
+	f.monitor.observe(rec, version, now)
+	due := f.monitor.claimable(f.node, now) && now >= f.notBefore && (f.Able == nil || f.Able())
+	rec, version, since := f.monitor.record, f.monitor.version, f.monitor.since
 	f.mu.Unlock()
 	if !due {
 		// Poll more closely near the end, spread so that nodes do not race.
--- a/internal/coordination/lease_test.go
+++ b/internal/coordination/lease_test.go
@@ -111,28 +111,28 @@
 }
 
 func TestLeaseRules(t *testing.T) {
-	w := watch{timing: TimingFor(10 * units.Second)}
+	w := leaseMonitor{timing: TimingFor(10 * units.Second)}
 	due := withDrift(w.timing.Length, w.timing.Margin)
 	if w.claimable("me", 0) {
 		t.Fatal("claimable before anything was read")
 	}
-	w.saw(bookkeeping.Lease{Holder: "other", Incarnation: 1}, 5, 100)
+	w.observe(bookkeeping.Lease{Holder: "other", Incarnation: 1}, 5, 100)
 	if w.claimable("me", 100+due-1) || !w.claimable("me", 100+due) {
 		t.Fatal("a foreign record is claimable when it was seen unchanged for the lease and its margin, and no sooner")
 	}
-	w.saw(bookkeeping.Lease{Holder: "other", Incarnation: 1}, 6, 100+due)
+	w.observe(bookkeeping.Lease{Holder: "other", Incarnation: 1}, 6, 100+due)
 	if w.claimable("me", 100+due) {
 		t.Fatal("a renewal starts the wait anew")
 	}
 	// After an outage the holder goes first: it keeps its term, and nothing
 	// has to be settled anew.
-	w.failed()
-	w.saw(bookkeeping.Lease{Holder: "other", Incarnation: 1}, 6, 100+3*due)
+	w.observeFailure()
+	w.observe(bookkeeping.Lease{Holder: "other", Incarnation: 1}, 6, 100+3*due)
 	if w.claimable("me", 100+3*due) || !w.claimable("me", 100+3*due+units.Second) {
 		t.Fatal("no grace for the holder after an outage")
 	}
-	own := watch{timing: w.timing}
-	own.saw(bookkeeping.Lease{Holder: "me", Incarnation: 4}, 9, 0)
+	own := leaseMonitor{timing: w.timing}
+	own.observe(bookkeeping.Lease{Holder: "me", Incarnation: 4}, 9, 0)
 	if !own.claimable("me", 0) {
 		t.Fatal("a node's former process is dead; its lease is claimable at once")
 	}
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -228,7 +228,7 @@
 	if level > m.leader.Format.Level() {
 		m.leader.Format.level.Store(int64(level))
 	}
-	m.leader.ledger.Raise(m.leader.Format.Level(), m.clock.now)
+	m.leader.ledger.UpgradeFormat(m.leader.Format.Level(), m.clock.now)
 }
 
 // fall lowers the limits of the state service, some time after the upgrade.
@@ -248,7 +248,7 @@
 		m.store.revision++
 		key := bookkeeping.KeyHead(b)
 		m.store.items[key] = protocol.Item{Key: key, Version: m.store.revision}
-		m.leader.heads[b] = m.store.revision
+		m.leader.bucketVersions[b] = m.store.revision
 	}
 	var rows []protocol.Item
 	for _, key := range slices.Sorted(maps.Keys(m.store.items)) {
@@ -508,13 +508,13 @@
 	l := m.leader.ledger
 	if m.save == nil {
 		m.saveNew = m.leader.Format.Level() >= bookkeeping.FormatNew
-		l.Raise(m.leader.Format.Level(), m.clock.now)
-		m.save = l.BuildSave(m.leader.saveID(), m.leader.heads, bookkeeping.SaveLimits{Lazy: units.Second, Tasks: true}, m.clock.now)
+		l.UpgradeFormat(m.leader.Format.Level(), m.clock.now)
+		m.save = l.BuildSave(m.leader.saveID(), m.leader.bucketVersions, bookkeeping.SaveLimits{Lazy: units.Second, Tasks: true}, m.clock.now)
 		return
 	}
 	if !m.store.takes(m.save.Txn) {
 		// Only what was built before the leader heard that all are upgraded.
-		l.Tighten()
+		l.ApplyNextLimits()
 		if m.saveNew {
 			m.t.Fatalf("a save in the new form is over the limits: %d changes", len(m.save.Txn.Then))
 		}
@@ -628,11 +628,11 @@
 	w := m.workers[i]
 	w.alive = false
 	t, now := m.leader, m.clock.now
-	t.bury(w.id, now)
+	t.markReleased(w.id, now)
 	if machine := t.ledger.Machines[w.id]; machine != nil {
 		t.ledger.Remove(machine, now)
 	} else {
-		t.ledger.Settle(w.id)
+		t.ledger.Confirm(w.id)
 	}
 	m.workers[i] = m.newWorker()
 }
@@ -787,7 +787,7 @@
 		for i := range m.workers {
 			w := m.workers[i]
 			m.leaseOf(w)
-			if machine := m.leader.ledger.Machines[w.id]; machine != nil && (machine.SetAside || machine.Unheard >= deafAfter) {
+			if machine := m.leader.ledger.Machines[w.id]; machine != nil && (machine.SetAside || machine.Undelivered >= maxUndelivered) {
 				m.releaseWorker(i)
 				continue
 			}
--- /dev/null
+++ b/internal/coordination/persistence.go
@@ -0,0 +1,209 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+func (t *Term) saveID() string {
+	t.saves++
+	return fmt.Sprintf("%d-%d", t.number, t.saves)
+}
+
+const (
+	maxSaving  = 3                       // saves on their way at a time
+	lazySave   = units.Second            // changes nobody waits for are gathered so long
+	saveGather = 2 * units.Millisecond   // submissions that come together are saved together
+	saveTick   = 200 * units.Millisecond // for the changes nobody waits for
+)
+
+// saveLoop writes changed records.
+func (t *Term) saveLoop(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.saveSignal:
+			if !pause(ctx, saveGather) {
+				return
+			}
+		case <-time.After(saveTick.Duration()):
+		}
+		for {
+			t.mu.Lock()
+			var s *bookkeeping.Save
+			if t.saving < maxSaving {
+				now := t.Clock.Steady()
+				t.ledger.UpgradeFormat(t.Format.Level(), now)
+				s = t.ledger.BuildSave(t.saveID(), t.bucketVersions, bookkeeping.SaveLimits{Lazy: lazySave, Tasks: t.Store.WritesSpare()}, now)
+			}
+			if s != nil {
+				t.saving++
+			}
+			t.mu.Unlock()
+			if s == nil {
+				break
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				t.commit(ctx, s)
+				t.mu.Lock()
+				t.saving--
+				t.mu.Unlock()
+				signal(t.saveSignal)
+			}()
+		}
+	}
+}
+
+// commit carries a save through. A save without an answer may be carried out
+// at any later time, so the very same one is sent until its outcome is known:
+// its conditions see to it that it happens once.
+func (t *Term) commit(ctx context.Context, s *bookkeeping.Save) {
+	uncertain := false
+	began := t.Clock.Steady()
+	for wait := 100 * units.Millisecond; ; wait = min(2*wait, 400*units.Millisecond) {
+		version, err := t.Store.Commit(ctx, s.Txn, false, stateCall)
+		if err == nil {
+			if t.traces {
+				t.Log.Debug("save carried out", "jobs", s.Jobs(), "changes", len(s.Txn.Then),
+					"took_us", int64(t.Clock.Steady()-began))
+			}
+			t.applied(s, version)
+			return
+		}
+		var conflict *bookkeeping.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			if uncertain && s.Probe() != "" {
+				version, ours, err := t.probe(ctx, s)
+				if err != nil {
+					break
+				}
+				if ours {
+					t.applied(s, version)
+					return
+				}
+			}
+			t.conflicted(ctx, s, conflict)
+			return
+		case errors.Is(err, bookkeeping.ErrUncertain):
+			uncertain = true
+		case errors.Is(err, bookkeeping.ErrRejected):
+			t.rejected(ctx, s, uncertain)
+			return
+		case !errors.Is(err, bookkeeping.ErrRefused):
+			t.Log.Error("save not understood", "jobs", s.Jobs(), "error", err)
+			uncertain = true
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// rejectedPause spaces saves that the state service does not take.
+const rejectedPause = 400 * units.Millisecond
+
+// rejected handles a save that the state service will not take as it is: it has
+// lower limits now. The save is built anew. But one that was sent before and got
+// no answer may have been carried out, or may be still.
+func (t *Term) rejected(ctx context.Context, s *bookkeeping.Save, uncertain bool) {
+	for uncertain {
+		version, ours, err := t.probe(ctx, s)
+		if err == nil && ours {
+			t.applied(s, version)
+			return
+		}
+		if err == nil {
+			// Only a new term's claim makes certain that it never is.
+			t.Log.Info("save rejected after a try without an answer; the term is given up", "jobs", s.Jobs())
+			t.Lease.Resign()
+			return
+		}
+		if !pause(ctx, rejectedPause) {
+			return
+		}
+	}
+	t.mu.Lock()
+	first := t.ledger.ApplyNextLimits()
+	t.mu.Unlock()
+	t.Store.ApplyNextLimits()
+	t.Log.Error("save rejected; it is built anew", "jobs", s.Jobs(), "changes", len(s.Txn.Then), "limits_lowered", first)
+	if !first && !pause(ctx, rejectedPause) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Rejected(s, t.Clock.Steady())
+}
+
+func (t *Term) probe(ctx context.Context, s *bookkeeping.Save) (uint64, bool, error) {
+	item, ok, err := t.Store.Get(ctx, s.Probe(), stateCall)
+	if err != nil || !ok {
+		return 0, false, err
+	}
+	var rec struct {
+		Save string `cbor:"save"`
+	}
+	if err := protocol.Decode(item.Value, &rec); err != nil {
+		return 0, false, err
+	}
+	return item.Version, rec.Save == s.ID, nil
+}
+
+func (t *Term) applied(s *bookkeeping.Save, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, f := range t.ledger.Applied(s, version) {
+		t.finals.put(id, f)
+		t.Log.Info("job over", "job", id, "stage", f.Stage, "done", f.Done)
+	}
+	signal(t.roundSignal)
+}
+
+// conflicted handles a save that was certainly not carried out: either it
+// submits the id of a job that is over, or somebody else has claimed our
+// buckets and this term is at its end.
+func (t *Term) conflicted(ctx context.Context, s *bookkeeping.Save, c *bookkeeping.ConflictError) {
+	over := map[string]bookkeeping.Final{}
+	for _, key := range c.Keys {
+		id, isFinal := bookkeeping.JobOfFinal(key)
+		if !isFinal {
+			if t.Lease.Valid(t.number) {
+				t.Log.Error("save met another writer's version; the term is given up", "keys", c.Keys, "jobs", s.Jobs())
+			}
+			t.Lease.Resign()
+			return
+		}
+		for {
+			f, ok, err := t.readFinal(ctx, id)
+			if err == nil {
+				if ok {
+					over[id] = f
+				}
+				break
+			}
+			if !pause(ctx, 200*units.Millisecond) {
+				return
+			}
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Refused(s, t.Clock.Steady())
+	for id, f := range over {
+		t.finals.put(id, f)
+		t.ledger.Drop(id)
+	}
+}
--- /dev/null
+++ b/internal/coordination/provisioning.go
@@ -0,0 +1,268 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// provisioningState is what the cloud loop remembers.
+type provisioningState struct {
+	catalog       protocol.Catalog
+	catalogStored map[string]uint64 // versions, by key
+	catalogFormat int               // in which it was stored last
+	catalogAt     units.Micros
+	listAt        units.Micros
+	refused       map[Kind]refusal
+	open          []protocol.Rent // sent, and not answered yet
+}
+
+type refusal struct {
+	until units.Micros
+	wait  units.Micros
+}
+
+func newProvisioningState() provisioningState {
+	return provisioningState{refused: map[Kind]refusal{}, catalogStored: map[string]uint64{}}
+}
+
+const (
+	cloudTick    = 500 * units.Millisecond
+	catalogEvery = 60 * units.Second
+	rentPasses   = 8
+	rentsAtOnce  = 3
+	refusedFirst = 8 * units.Second
+	refusedMost  = 40 * units.Second
+	bootPatience = 3 // boot times until a machine is not reckoned with
+	bootLimit    = 6 // boot times until it is given up
+	// A worker that looks for a new leader tries the next node after 1 s, and
+	// waits 4 s on each that does not answer.
+	searchStart         = 2500 * units.Millisecond
+	searchNode          = 5 * units.Second
+	maxReleasedMachines = 8192 // names of released machines kept: their reports may still come
+)
+
+// cloudLoop keeps the rented machines as wanted.
+func (t *Term) cloudLoop(ctx context.Context) {
+	for wait := units.Micros(0); pause(ctx, wait); wait = cloudTick {
+		if !t.Lease.Valid(t.number) {
+			continue
+		}
+		now := t.Clock.Steady()
+		if t.provisioning.catalogAt == 0 || now-t.provisioning.catalogAt >= catalogEvery {
+			t.readCatalog(ctx)
+		}
+		if every := max(2*units.Second, units.Seconds(t.Settings.Fleet.Cloud.ListLagS)/2); t.provisioning.listAt == 0 || now-t.provisioning.listAt >= every {
+			t.readList(ctx)
+		}
+		t.releaseUnwanted(ctx)
+		t.rentWanted(ctx)
+	}
+}
+
+func (t *Term) readList(ctx context.Context) {
+	listed, err := t.Cloud.List(ctx)
+	if err != nil {
+		t.Log.Debug("machines not listed", "error", err)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	t.provisioning.listAt = now
+	present := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		present[l.ID] = true
+		if _, gone := t.releasedMachines[l.ID]; gone {
+			continue
+		}
+		_, known := t.ledger.Machines[l.ID]
+		m := t.ledger.Machine(l.ID, l.Type, l.Zone, l.Spot, now)
+		if !known {
+			m.Rented = now - units.Seconds(l.AgeS)
+			t.Log.Debug("machine listed", "machine", l.ID, "type", l.Type, "zone", l.Zone, "stage", l.Stage)
+		}
+		if !m.Seen {
+			m.Stage, m.Endpoint = l.Stage, l.Endpoint
+		}
+		if l.Stage == protocol.MachineFailed && !m.Releasing {
+			// It has stopped on its own: nothing runs there any more. The
+			// release only takes it off the list.
+			t.Log.Info("machine failed", "machine", m.ID, "lost", len(m.Attempts))
+			t.ledger.Emptied(m, now)
+			t.ledger.Confirm(m.ID)
+			m.Releasing = true
+			signal(t.roundSignal)
+		}
+	}
+	lag := units.Seconds(t.Settings.Fleet.Cloud.ListLagS)
+	for _, m := range t.ledger.Machines {
+		// Taken or deleted before it was up. That a machine is not listed proves
+		// nothing about one that may hold tasks: its lease decides.
+		if !m.Seen && !present[m.ID] && now-m.Rented > 4*lag+20*units.Second && !t.ledger.IsUnconfirmed(m.ID) {
+			t.remove(m, now)
+		}
+	}
+}
+
+const (
+	zoneCutLeast = 3                  // machines of a zone that fall silent together
+	zoneCutMost  = 120 * units.Second // beyond the workers' lease, until they are given back
+)
+
+func (t *Term) fleetInput() config.FleetInput {
+	in := config.FleetInput{Hour: int(t.Clock.Wall() / units.Second / 3600 % 24)}
+	for _, j := range t.ledger.Jobs {
+		if !j.Service() {
+			t.lastWork = t.Clock.Steady()
+			break
+		}
+	}
+	in.QuietS = (t.Clock.Steady() - t.lastWork).Seconds()
+	for _, team := range t.ledger.Teams {
+		in.GuaranteedCPUs += team.Guarantee.CPU.Float()
+		in.LimitCPUs += team.Limit.CPU.Float()
+	}
+	for _, n := range t.needs() {
+		in.DemandCPUs += n.Spec.Need.CPU.Float() * float64(n.Count)
+	}
+	for _, m := range t.ledger.Machines {
+		if !m.Releasing {
+			in.FleetCPUs += m.Size.CPU.Float()
+		}
+	}
+	return in
+}
+
+// needs lists the tasks that are not done, as far as their teams' limits let
+// them run, and the replicas that room is kept for.
+func (t *Term) needs() []Need {
+	left := map[string]units.Resources{}
+	for name, team := range t.ledger.Teams {
+		left[name] = team.Limit
+	}
+	var out []Need
+	for _, j := range t.jobsInOrder() {
+		if j.Cancelled || !j.Accepted() {
+			continue
+		}
+		room := left[j.Spec.Team]
+		if n := min(j.Unfinished(), room.Fits(j.Spec.Need)); n > 0 {
+			left[j.Spec.Team] = room.Plus(j.Spec.Need, -n)
+			out = append(out, Need{&j.Spec, n})
+		}
+	}
+	if like := t.headroomReplica(); like != nil {
+		out = append(out, Need{like, t.headroomReplicas(like)})
+	}
+	return out
+}
+
+// rentWanted rents what is wanted. What one kind refuses is asked of the next
+// at once: a boot takes long enough.
+func (t *Term) rentWanted(ctx context.Context) {
+	for range rentPasses {
+		t.mu.Lock()
+		if len(t.provisioning.open) == 0 {
+			t.provisioning.open = t.orders(t.Clock.Steady())
+		}
+		orders := t.provisioning.open
+		t.mu.Unlock()
+		if len(orders) == 0 {
+			return
+		}
+		var wg sync.WaitGroup
+		slots := make(chan struct{}, rentsAtOnce)
+		unanswered := make([]bool, len(orders))
+		for i, r := range orders {
+			slots <- struct{}{}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				unanswered[i] = !t.rentOne(ctx, r)
+				<-slots
+			}()
+		}
+		wg.Wait()
+		var open []protocol.Rent // sent again under the same names
+		for i, r := range orders {
+			if unanswered[i] {
+				open = append(open, r)
+			}
+		}
+		t.mu.Lock()
+		t.provisioning.open = open
+		t.mu.Unlock()
+		if len(open) > 0 {
+			return
+		}
+	}
+}
+
+// rentOne sends one request and tells whether it was answered.
+func (t *Term) rentOne(ctx context.Context, r protocol.Rent) bool {
+	names, err := t.Cloud.Rent(ctx, r)
+	if err != nil && !errors.Is(err, bookkeeping.ErrNoCapacity) {
+		t.Log.Debug("rent not answered", "request", r.Request, "error", err)
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Steady()
+	kind := Kind{r.Type, r.Zone, r.Spot}
+	if len(names) < r.Count {
+		was := t.provisioning.refused[kind]
+		wait := min(max(2*was.wait, refusedFirst), refusedMost)
+		t.provisioning.refused[kind] = refusal{now + wait, wait}
+	} else {
+		delete(t.provisioning.refused, kind)
+	}
+	for _, id := range names {
+		if _, gone := t.releasedMachines[id]; !gone {
+			m := t.ledger.Machine(id, r.Type, r.Zone, r.Spot, now)
+			if m.Stage == "" {
+				m.Stage = protocol.MachineBooting
+			}
+		}
+	}
+	t.Log.Info("machines rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", names)
+	return true
+}
+
+// fleetView is what the renting decision looks at.
+func (t *Term) fleetView(in config.FleetInput) FleetView {
+	v := FleetView{Types: t.ledger.Types, Have: map[Kind]int{}, Needs: t.needs(),
+		Reserve: t.Policy.ReserveCPUs(in), SpotPreference: t.Policy.SpotPreference(in)}
+	now := t.Clock.Steady()
+	for _, m := range t.ledger.Machines {
+		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
+		if m.Releasing || m.SetAside || m.NoticeEnds > 0 || !m.Seen && now-m.Rented > bootPatience*boot+10*units.Second {
+			continue
+		}
+		v.Have[Kind{m.Type, m.Zone, m.Spot}]++
+	}
+	return v
+}
+
+// orders turns what is wanted into requests with names never used before: the
+// term is in them, and no two terms are alike.
+func (t *Term) orders(now units.Micros) []protocol.Rent {
+	if len(t.ledger.Types) == 0 || t.provisioning.listAt == 0 {
+		return nil // what there is, is not known yet
+	}
+	v := t.fleetView(t.fleetInput())
+	v.Refused = func(k Kind) bool { return now < t.provisioning.refused[k].until }
+	var out []protocol.Rent
+	for _, o := range WantRented(&v) {
+		t.rentRequests++
+		out = append(out, protocol.Rent{Request: fmt.Sprintf("r-%d-%d", t.number, t.rentRequests),
+			Type: o.Kind.Type, Zone: o.Kind.Zone, Spot: o.Kind.Spot, Count: o.Count})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/release.go
@@ -0,0 +1,167 @@
+package coordination
+
+import (
+	"context"
+	"sort"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// remove drops a machine that is gone. The cloud may have room for another of
+// its kind now, whatever it said before: after a wave of losses, waiting for the
+// refusal to pass once left a quarter of the fleet away for half a minute.
+func (t *Term) remove(m *bookkeeping.Machine, now units.Micros) {
+	t.ledger.Remove(m, now)
+	delete(t.provisioning.refused, Kind{m.Type, m.Zone, m.Spot})
+}
+
+// releaseUnwanted returns machines that are faulty, lost, never came up, or
+// are idle beyond what is to be kept.
+func (t *Term) releaseUnwanted(ctx context.Context) {
+	t.mu.Lock()
+	names := t.unwanted(t.Clock.Steady())
+	t.mu.Unlock()
+	for len(names) > 0 {
+		n := min(len(names), protocol.MaxRelease)
+		if err := t.Cloud.Release(ctx, names[:n]); err != nil {
+			t.Log.Debug("machines not released", "machines", names[:n], "error", err)
+			return
+		}
+		t.mu.Lock()
+		now := t.Clock.Steady()
+		for _, id := range names[:n] {
+			t.markReleased(id, now)
+			if m := t.ledger.Machines[id]; m != nil {
+				t.remove(m, now)
+			} else {
+				t.ledger.Confirm(id)
+			}
+		}
+		t.Log.Info("machines released", "machines", names[:n])
+		t.mu.Unlock()
+		signal(t.roundSignal)
+		names = names[n:]
+	}
+}
+
+// markReleased remembers a machine that is gone. It may still be listed for a while,
+// and copies of its reports may come at any time in this term: they must not
+// bring it back with room for work.
+func (t *Term) markReleased(id string, now units.Micros) {
+	if len(t.releasedMachines) >= maxReleasedMachines {
+		oldest := id
+		for other, at := range t.releasedMachines {
+			if at < t.releasedMachines[oldest] || oldest == id {
+				oldest = other
+			}
+		}
+		delete(t.releasedMachines, oldest)
+	}
+	t.releasedMachines[id] = now
+}
+
+// unwanted chooses the machines to be released. A machine once chosen gets no
+// work and stays chosen, since a release that got no answer may be carried
+// out at any time.
+func (t *Term) unwanted(now units.Micros) []string {
+	chosen := map[string]bool{}
+	mark := func(m *bookkeeping.Machine, why string) {
+		if !m.Releasing {
+			t.Log.Info("machine is to be released", "machine", m.ID, "why", why, "tasks", len(m.Attempts))
+			m.Releasing = true
+		}
+	}
+	silent := t.silentMachines(now)
+	for _, id := range sortedKeys(t.ledger.Machines) {
+		m := t.ledger.Machines[id]
+		boot := units.Seconds(t.ledger.Types[m.Type].BootS)
+		switch {
+		case m.Seen && m.SetAside && len(m.Attempts) == 0:
+			mark(m, "faulty")
+		case !m.Seen && m.Stage != protocol.MachineRunning && now-m.Rented > bootLimit*boot+30*units.Second && now-t.claimedAt > 30*units.Second:
+			mark(m, "never came up")
+		case !m.Seen && now-max(t.claimedAt, m.Rented) > withDrift(t.Settings.Fleet.Workers.Lease(), zoneCutMost):
+			// It runs, the cloud says, but has not been heard in this term: its
+			// zone may be cut off, for a while.
+			mark(m, "silent")
+		case silent[id]:
+			// Waiting for its lease would take longer, and what is known to
+			// be gone can start elsewhere.
+			mark(m, "silent")
+		}
+		if m.Releasing {
+			chosen[id] = true
+		}
+	}
+	for id := range silent {
+		if t.ledger.Machines[id] == nil {
+			chosen[id] = true
+		}
+	}
+	for _, m := range t.idle(now) {
+		mark(m, "idle")
+		chosen[m.ID] = true
+	}
+	return sortedKeys(chosen)
+}
+
+// idle chooses machines that nothing has needed for a while, the dearest
+// first, as long as what is left covers the need and the reserve.
+func (t *Term) idle(now units.Micros) []*bookkeeping.Machine {
+	in := t.fleetInput()
+	wait := t.Policy.IdleReturn(in)
+	keep := max(units.AmountOf(in.DemandCPUs), t.Policy.ReserveCPUs(in))
+	have := units.AmountOf(in.FleetCPUs)
+	var out []*bookkeeping.Machine
+	for _, m := range t.ledger.Machines {
+		if m.Seen && !m.Releasing && m.Term == t.number && len(m.Attempts) == 0 && now-m.IdleSince > wait && now-t.claimedAt > wait {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, b := out[i], out[k]
+		if pa, pb := t.price(a), t.price(b); pa != pb {
+			return pa > pb
+		}
+		return a.ID < b.ID
+	})
+	// What is left must be of the right kinds: services may not be allowed on
+	// those that are cheapest.
+	view := t.fleetView(in)
+	view.Reserve, view.Refused = 0, func(Kind) bool { return false }
+	lacking := func() int {
+		count := 0
+		for _, o := range WantRented(&view) {
+			count += o.Count
+		}
+		return count
+	}
+	n, lacks := 0, lacking()
+	for _, m := range out[:min(len(out), idleAtATime)] {
+		if have-m.Size.CPU < keep {
+			continue
+		}
+		kind := Kind{m.Type, m.Zone, m.Spot}
+		if view.Have[kind]--; lacking() > lacks {
+			view.Have[kind]++
+			continue
+		}
+		have -= m.Size.CPU
+		out[n] = m
+		n++
+	}
+	return out[:n]
+}
+
+// idleAtATime bounds the machines that are looked at in one go.
+const idleAtATime = 50
+
+func (t *Term) price(m *bookkeeping.Machine) float64 {
+	typ := t.ledger.Types[m.Type]
+	if m.Spot {
+		return typ.SpotPrice
+	}
+	return typ.Price
+}
--- a/internal/coordination/rent_test.go
+++ b/internal/coordination/rent_test.go
@@ -77,10 +77,10 @@
 // is gone, there may be room for another at once.
 func TestLostMachineIsReplacedAtOnce(t *testing.T) {
 	term, clock := guardTerm(t, 40)
-	term.rent.listAt = clock.now
+	term.provisioning.listAt = clock.now
 	m := term.ledger.Machine("i-000001", "m", "a", true, clock.now)
 	for _, spot := range []bool{false, true} {
-		term.rent.refused[Kind{"m", "a", spot}] = refusal{until: clock.now + refusedMost, wait: refusedMost}
+		term.provisioning.refused[Kind{"m", "a", spot}] = refusal{until: clock.now + refusedMost, wait: refusedMost}
 	}
 	if orders := term.orders(clock.now); len(orders) != 0 {
 		t.Fatalf("asked for what was refused: %v", orders)
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"dunestand/internal/bookkeeping"
@@ -68,7 +67,7 @@
 		t.fill(m, now)
 	}
 	if wait := t.undurable(m); wait != nil {
-		kick(t.kickSave)
+		signal(t.saveSignal)
 		t.mu.Unlock()
 		admitted.release()
 		select {
@@ -101,14 +100,14 @@
 // the ledger says of it. Old reports, and those of machines that were
 // released, have no effect and give nil.
 func (t *Term) observe(r *protocol.Report, now units.Micros) *bookkeeping.Machine {
-	if _, gone := t.tombs[r.Machine]; gone {
+	if _, gone := t.releasedMachines[r.Machine]; gone {
 		return nil
 	}
 	m := t.ledger.Machine(r.Machine, r.Type, r.Zone, r.Spot, now)
 	if m.Seen && !newer(r, m.Session, m.Seq) {
 		return nil
 	}
-	t.heard(m, r, now)
+	t.checkDelivery(m, r, now)
 	if m.Seen && r.Session > m.Session {
 		t.Log.Info("machine began a new session", "machine", m.ID, "session", r.Session, "lost", len(m.Attempts))
 		t.ledger.Emptied(m, now)
@@ -151,64 +150,57 @@
 	// received. Any other may be a copy that comes late, of a machine that is
 	// gone by now, and an answer of a former leader may still be on its way.
 	if m.Term != r.Term && r.Term == t.number {
-		t.ledger.Settle(m.ID)
-		kick(t.kickRound)
+		t.ledger.Confirm(m.ID)
+		signal(t.roundSignal)
 	}
 	m.Term, m.HungCancelled = r.Term, false
 	return m
 }
 
-// heard works out from a newer report whether the last answer that commanded
+// checkDelivery works out from a newer report whether the last answer that commanded
 // something reached the machine: all of an answer's commands are carried out,
 // or none. A machine that was told nothing shows it by its session: without an
 // answer within its lease it would have begun another one.
-func (t *Term) heard(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) {
-	if m.Unheard > 0 && r.Session == m.Session && now-m.UnheardAt > t.workerLease() {
+func (t *Term) checkDelivery(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) {
+	if m.Undelivered > 0 && r.Session == m.Session && now-m.UndeliveredAt > t.workerLease() {
 		t.Log.Info("machine hears again", "machine", m.ID)
-		m.Unheard = 0
+		m.Undelivered = 0
 	}
 	if r.Session != m.Session {
-		m.UnheardAt = now
+		m.UndeliveredAt = now
 	}
-	if !m.Told.Given {
+	if !m.LastCommand.Given {
 		return
 	}
 	there, live := false, false
 	for i := range r.Tasks {
-		if k := &r.Tasks[i]; k.Job == m.Told.Key.Job && k.Index == m.Told.Key.Index && k.Attempt == m.Told.Key.Number {
+		if k := &r.Tasks[i]; k.Job == m.LastCommand.Key.Job && k.Index == m.LastCommand.Key.Index && k.Attempt == m.LastCommand.Key.Number {
 			there, live = true, k.Stage == protocol.TaskFetching || k.Stage == protocol.TaskRunning
 		}
 	}
 	carriedOut := !there
-	switch protocol.Verb(m.Told.Verb) {
+	switch protocol.Verb(m.LastCommand.Verb) {
 	case protocol.Start:
 		carriedOut = there
 	case protocol.Stop:
 		carriedOut = !live
 	}
-	m.Told.Given = false
+	m.LastCommand.Given = false
 	if carriedOut && r.Session == m.Session {
-		m.Unheard = 0
+		m.Undelivered = 0
 		return
 	}
-	m.UnheardAt = now
-	if m.Unheard++; m.Unheard == deafAfter {
-		t.Log.Info("machine carries nothing out", "machine", m.ID, "task", protocol.TaskName(m.Told.Key.Job, m.Told.Key.Index),
-			"attempt", m.Told.Key.Number, "verb", m.Told.Verb)
+	m.UndeliveredAt = now
+	if m.Undelivered++; m.Undelivered == maxUndelivered {
+		t.Log.Info("machine carries nothing out", "machine", m.ID, "task", protocol.TaskName(m.LastCommand.Key.Job, m.LastCommand.Key.Index),
+			"attempt", m.LastCommand.Key.Number, "verb", m.LastCommand.Verb)
 	}
 }
 
-// tell notes the first command of an answer, for heard.
-func tell(m *bookkeeping.Machine, out []protocol.Command, key bookkeeping.AttemptKey) {
-	if len(out) == 1 {
-		m.Told = bookkeeping.Told{Given: true, Verb: string(out[0].Verb), Key: key}
-	}
-}
-
-// deafAfter is how many answers in a row may have no effect on a machine until
+// maxUndelivered is how many answers in a row may have no effect on a machine until
 // it counts as deaf: it reports, but commands do not reach it. It then gets no
 // work and is returned as one that is silent would be.
-const deafAfter = 2
+const maxUndelivered = 2
 
 func (t *Term) exited(m *bookkeeping.Machine, key bookkeeping.AttemptKey, task *protocol.TaskReport, now units.Micros) {
 	j, a := t.ledger.Jobs[key.Job], m.Attempts[key]
@@ -233,11 +225,11 @@
 			t.ledger.Ended(a, false, now)
 			break
 		}
-		t.turnover.freed += j.Spec.Need.CPU
+		t.completions.freed += j.Spec.Need.CPU
 		t.ledger.Completed(a, now)
 		t.ledger.Done(j, key.Index, now)
 		if j.Complete() {
-			kick(t.kickSave)
+			signal(t.saveSignal)
 		}
 	case protocol.CauseError:
 		if j.Service() {
@@ -256,7 +248,7 @@
 	t.ledger.Gone(a, now)
 	if j.Cancelled && len(j.Live) == 0 {
 		j.Changed(now, true)
-		kick(t.kickSave)
+		signal(t.saveSignal)
 	}
 }
 
@@ -288,77 +280,3 @@
 		a.Stage = bookkeeping.Saving
 	}
 }
-
-// undurable gives a channel to wait on when some start for the machine lacks
-// the save that must come first.
-func (t *Term) undurable(m *bookkeeping.Machine) <-chan struct{} {
-	if m.Term != t.number {
-		return nil
-	}
-	for _, a := range m.Attempts {
-		if a.Stage == bookkeeping.Assigned && !a.Job.MayStartOn(m.ID) {
-			return a.Job.Saved()
-		}
-	}
-	return nil
-}
-
-// commands works out what the machine is to do: what is wanted of it minus
-// what its report shows.
-func (t *Term) commands(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) []protocol.Command {
-	out := []protocol.Command{}
-	for i := range r.Tasks {
-		task := &r.Tasks[i]
-		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
-		if c, ok := t.command(m.Attempts[key], task); ok {
-			c.Task, c.Attempt = protocol.TaskName(task.Job, task.Index), task.Attempt
-			out = append(out, c)
-			tell(m, out, key)
-		}
-	}
-	var starts []*bookkeeping.Attempt
-	for _, a := range m.Attempts {
-		if a.Stage == bookkeeping.Assigned {
-			starts = append(starts, a)
-		}
-	}
-	sort.Slice(starts, func(i, k int) bool { return starts[i].Number < starts[k].Number })
-	for _, a := range starts {
-		switch {
-		case a.Stop || a.Job.Cancelled || a.Job.IsDone(a.Index):
-			t.ledger.Gone(a, now) // it was never sent
-			if a.Job.Cancelled {
-				a.Job.Changed(now, true)
-				kick(t.kickSave)
-			}
-		case m.Term == t.number && a.Job.MayStartOn(m.ID) && len(out) < protocol.MaxCommands:
-			a.Stage, a.SentSeq = bookkeeping.Sent, r.Seq
-			out = append(out, protocol.Command{Verb: protocol.Start, Task: a.Task(), Attempt: a.Number})
-			tell(m, out, bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number})
-			t.trace("start sent", a)
-		}
-	}
-	return out
-}
-
-// command works out what a machine is to do about a task that it reports, if anything.
-func (t *Term) command(a *bookkeeping.Attempt, task *protocol.TaskReport) (protocol.Command, bool) {
-	switch {
-	case task.Stage == protocol.TaskExited:
-		// A completion that is not durable stays with the worker: a later
-		// leader must be able to learn of it.
-		j := t.ledger.Jobs[task.Job]
-		forget := j == nil || j.Cancelled || j.Service() || task.Cause != protocol.CauseDone || j.DoneDurably(task.Index)
-		return protocol.Command{Verb: protocol.Forget}, forget
-	case a == nil, a.Job.Cancelled:
-		return stopCommand("", 0, 0), true
-	case a.Stop && task.Stage != protocol.TaskSaving:
-		return stopCommand("", 0, a.Grace), true
-	}
-	return protocol.Command{}, false
-}
-
-func stopCommand(task string, attempt uint64, grace units.Micros) protocol.Command {
-	g := grace.Seconds()
-	return protocol.Command{Verb: protocol.Stop, Task: task, Attempt: attempt, Grace: &g}
-}
--- a/internal/coordination/users.go
+++ b/internal/coordination/requests.go
@@ -55,26 +55,6 @@
 // leads tells, under the lock, whether this node may speak for the service.
 func (t *Term) leads() bool { return t.ready && t.Lease.Valid(t.number) }
 
-// final finds the final state of a job that is not live.
-func (t *Term) final(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
-	t.mu.Lock()
-	f, ok := t.finals.get(id)
-	t.mu.Unlock()
-	if ok {
-		return f, true, nil
-	}
-	if !t.Store.Spare() {
-		return f, false, bookkeeping.ErrRefused // questions about unknown jobs must not crowd out the rest
-	}
-	f, ok, err := t.readFinal(ctx, id)
-	if ok {
-		t.mu.Lock()
-		t.finals.put(id, f)
-		t.mu.Unlock()
-	}
-	return f, ok, err
-}
-
 // jobMemory bounds what the live jobs may take, by the reckoning of the ledger: a
 // controller refuses new jobs rather than be ended for memory with all that it holds.
 func jobMemory(s *config.Settings) int64 { return int64(s.Fleet.Resources.RAMMB * (1 << 20)) }
@@ -93,7 +73,7 @@
 	}
 	j := t.ledger.Jobs[spec.ID]
 	if j == nil {
-		if status, why := t.judge(spec); status != 0 {
+		if status, why := t.checkAdmissible(spec); status != 0 {
 			t.mu.Unlock()
 			if status != http.StatusServiceUnavailable {
 				// An id that is known already is known, whatever else the
@@ -107,7 +87,7 @@
 		j = t.ledger.NewJob(*spec, t.Clock.Wall(), t.Clock.Steady())
 		t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "priority", spec.Priority, "tasks", spec.Tasks,
 			"cpus", spec.Need.CPU.Float(), "estimate_ms", spec.Estimate/units.Millisecond, "deadline_ms", spec.Deadline/units.Millisecond)
-		kick(t.kickSave)
+		signal(t.saveSignal)
 	} else if j.Accepted() {
 		defer t.mu.Unlock()
 		return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers)
@@ -144,17 +124,17 @@
 	return false
 }
 
-// judge tells why a new job cannot be taken; status 0 if it can.
-func (t *Term) judge(spec *protocol.JobSpec) (int, string) {
-	status, why := judge(spec, t.Settings, t.ledger.Types, t.Format.Level())
+// checkAdmissible tells why a new job cannot be taken; status 0 if it can.
+func (t *Term) checkAdmissible(spec *protocol.JobSpec) (int, string) {
+	status, why := checkRunnable(spec, t.Settings, t.ledger.Types, t.Format.Level())
 	if status == 0 && t.ledger.Memory()+bookkeeping.MemoryOf(spec) > jobMemory(t.Settings) {
 		return http.StatusTooManyRequests, "too many unfinished jobs"
 	}
 	return status, why
 }
 
-// judge tells why a job could never run, or why that is not known yet.
-func judge(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType, format int) (int, string) {
+// checkRunnable tells why a job could never run, or why that is not known yet.
+func checkRunnable(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType, format int) (int, string) {
 	i := slices.IndexFunc(s.Fleet.Teams, func(t config.Team) bool { return t.Name == spec.Team })
 	if i < 0 {
 		return http.StatusUnprocessableEntity, "crew: unknown team"
@@ -286,11 +266,11 @@
 	now := t.Clock.Steady()
 	for _, a := range j.Live {
 		if a.Stage == bookkeeping.Sent || a.Stage == bookkeeping.Fetching {
-			t.hurry(a.Machine, nil, now) // or it would begin yet
+			t.requestDirect(a.Machine, nil, now) // or it would begin yet
 		}
 	}
 	j.Changed(now, true)
-	kick(t.kickSave)
+	signal(t.saveSignal)
 }
 
 // PollStored answers a poll from the records alone, for a node that does not
--- /dev/null
+++ b/internal/coordination/restore.go
@@ -0,0 +1,156 @@
+package coordination
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// restore claims the buckets and reads their jobs.
+func (t *Term) restore(ctx context.Context) bool {
+	if err := t.claimBuckets(ctx); err != nil {
+		t.Log.Info("buckets not claimed yet", "error", err)
+		return false
+	}
+	if err := t.Format.Read(ctx); err != nil {
+		t.Log.Info("the fleet's format is not read yet", "error", err)
+		return false
+	}
+	if t.Format.Newer() {
+		t.Lease.StandBack(standBack)
+		return false
+	}
+	rows, err := t.listAll(ctx, bookkeeping.PrefixJobs)
+	if err != nil {
+		t.Log.Info("records not read yet", "error", err)
+		return false
+	}
+	jobs, orphans, err := bookkeeping.ParseJobs(rows)
+	if err == nil {
+		for _, id := range sortedKeys(orphans) {
+			_, over, ferr := t.readFinal(ctx, id)
+			if ferr != nil {
+				t.Log.Info("records not read yet", "error", ferr)
+				return false
+			}
+			if !over {
+				err = fmt.Errorf("record %s: belongs to no job", orphans[id][0])
+			}
+		}
+	}
+	if err != nil {
+		// Leading without such a job would forget it. Another node may be of a
+		// version that reads it; if none is, nobody leads until an operator has
+		// looked.
+		t.Log.Error("records are not readable; nothing is placed, and this node stands back", "error", err)
+		t.Lease.StandBack(standBack)
+		return false
+	}
+	list, err := t.listAll(ctx, bookkeeping.KeyCatalog)
+	if err != nil {
+		return false
+	}
+	catalog, stored, err := bookkeeping.ParseCatalog(list)
+	if err != nil {
+		t.Log.Error("stored catalog is not readable", "error", err)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.provisioning.catalogStored = stored
+	for _, id := range sortedKeys(orphans) {
+		t.ledger.Leave(id, orphans[id])
+	}
+	t.install(jobs, catalog)
+	return true
+}
+
+// standBack is for how long a node that could not read the records leaves the
+// lease to others.
+const standBack = 30 * units.Second
+
+// install takes over what the records say.
+func (t *Term) install(jobs []*bookkeeping.Job, catalog protocol.Catalog) {
+	now := t.Clock.Steady()
+	t.ledger.SetTypes(catalog.Types)
+	t.ledger.UpgradeFormat(t.Format.Level(), now)
+	for _, j := range jobs {
+		j.Since = now
+		t.ledger.Add(j)
+	}
+	t.ready = true
+	close(t.restored)
+	t.Log.Info("records restored", "jobs", len(jobs), "doubtful_machines", t.ledger.UnconfirmedCount(), "took_ms", (now-t.claimedAt)/units.Millisecond)
+	signal(t.roundSignal)
+}
+
+// claimBuckets raises every bucket's incarnation, a transaction's worth at a
+// time: from then on, saves of a former leader that are still on their way
+// fail.
+func (t *Term) claimBuckets(ctx context.Context) error {
+	items, err := t.listAll(ctx, bookkeeping.PrefixHeads)
+	if err != nil {
+		return err
+	}
+	byKey := map[string]protocol.Item{}
+	for _, i := range items {
+		byKey[i.Key] = i
+	}
+	save := t.saveID()
+	var txn protocol.Txn
+	var claiming []int
+	for b := range bookkeeping.Buckets {
+		key := bookkeeping.KeyHead(b)
+		var head bookkeeping.Lease
+		item, ok := byKey[key]
+		if ok {
+			if err := protocol.Decode(item.Value, &head); err != nil {
+				return fmt.Errorf("record %s: %w", key, err)
+			}
+		}
+		if ok && t.isOwn(head) {
+			t.bucketVersions[b] = item.Version // by an earlier try that got no answer
+			continue
+		}
+		head = bookkeeping.Lease{Holder: t.Settings.Node, Incarnation: head.Incarnation + 1, Save: save}
+		txn.If = append(txn.If, protocol.Condition{Key: key, Version: item.Version})
+		txn.Then = append(txn.Then, protocol.Change{Set: key, Value: protocol.Encode(head)})
+		claiming = append(claiming, b)
+	}
+	step := t.Settings.Fleet.State.Both().TxnOps
+	for from := 0; from < len(claiming); from += step {
+		to := min(from+step, len(claiming))
+		version, err := t.Store.Commit(ctx, protocol.Txn{If: txn.If[from:to], Then: txn.Then[from:to]}, true, stateCall)
+		if err != nil {
+			return err // tried again, with the versions then read
+		}
+		for _, b := range claiming[from:to] {
+			t.bucketVersions[b] = version
+		}
+	}
+	return nil
+}
+
+// isOwn tells whether a bucket's head was claimed in this very term.
+func (t *Term) isOwn(head bookkeeping.Lease) bool {
+	return head.Holder == t.Settings.Node && strings.HasPrefix(head.Save, fmt.Sprintf("%d-", t.number))
+}
+
+func (t *Term) listAll(ctx context.Context, prefix string) ([]protocol.Item, error) {
+	var all []protocol.Item
+	from := ""
+	for {
+		page, err := t.Store.List(ctx, prefix, from, 3*units.Second)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, nil
+		}
+		from = page.Items[len(page.Items)-1].Key
+	}
+}
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -250,10 +250,10 @@
 	spec.Tasks = 3
 	writer := testTerm(7, &manualClock{now: units.Second})
 	writer.ledger.NewJob(spec, 0, 0)
-	s := writer.ledger.BuildSave("1-1", writer.heads, bookkeeping.SaveLimits{}, 0)
+	s := writer.ledger.BuildSave("1-1", writer.bucketVersions, bookkeeping.SaveLimits{}, 0)
 	writer.ledger.Applied(s, 1)
 	writer.ledger.Done(writer.ledger.Jobs[spec.ID], 1, 0)
-	s = writer.ledger.BuildSave("1-2", writer.heads, bookkeeping.SaveLimits{Tasks: true}, 10*units.Second)
+	s = writer.ledger.BuildSave("1-2", writer.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, 10*units.Second)
 	var fields map[string]any
 	if err := protocol.Decode(s.Txn.Then[0].Value, &fields); err != nil {
 		t.Fatal(err)
@@ -281,10 +281,10 @@
 	}
 	term.lastRound = -units.Second
 	term.round(clock.now, nil)
-	if len(term.hurried) == 0 {
+	if len(term.directRequests) == 0 {
 		t.Fatal("no machine is woken")
 	}
-	for id, h := range term.hurried {
+	for id, h := range term.directRequests {
 		_, body := term.direct(id, h.starts)
 		var d protocol.DirectCommands
 		if err := protocol.Decode(body, &d); err != nil {
@@ -324,14 +324,14 @@
 		}
 		machines = append(machines, m)
 	}
-	got := keepRoom(machines, nil, like, func(k int) bool { return k == 11 })
+	got := reserveHeadroom(machines, nil, like, func(k int) bool { return k == 11 })
 	if fmt.Sprint(got) != "[4 0 9 11]" {
 		t.Errorf("kept on %v", got)
 	}
-	if got := keepRoom(machines[:6], nil, like, func(int) bool { return false }); len(got) != 0 {
+	if got := reserveHeadroom(machines[:6], nil, like, func(int) bool { return false }); len(got) != 0 {
 		t.Errorf("kept on %v of a small fleet", got)
 	}
-	if got := keepRoom(machines, nil, nil, func(int) bool { return true }); len(got) != 0 {
+	if got := reserveHeadroom(machines, nil, nil, func(int) bool { return true }); len(got) != 0 {
 		t.Errorf("kept on %v without a service", got)
 	}
 	// A task that needs a whole machine of some type finds one.
@@ -340,10 +340,10 @@
 	for _, k := range []int{1, 3, 5} {
 		machines[k].Type, machines[k].Size = "large", cpus(16)
 	}
-	if got := keepRoom(machines, []JobView{{Spec: whole}}, like, func(int) bool { return false }); fmt.Sprint(got) != "[4 0 1 3]" {
+	if got := reserveHeadroom(machines, []JobView{{Spec: whole}}, like, func(int) bool { return false }); fmt.Sprint(got) != "[4 0 1 3]" {
 		t.Errorf("kept on %v, where a task needs a whole machine", got)
 	}
-	machines[4].Kept = like.Need
+	machines[4].Headroom = like.Need
 	array, service := modelSpec("j-000002"), *like
 	array.Need, service.Shape = cpus(2), protocol.Service
 	for _, c := range []struct {
--- /dev/null
+++ b/internal/coordination/snapshot.go
@@ -0,0 +1,244 @@
+package coordination
+
+import (
+	"slices"
+	"sort"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+type snapshotRefs struct {
+	jobs     []*bookkeeping.Job
+	machines []*bookkeeping.Machine
+	victims  []*bookkeeping.Attempt // grows as machines are asked for theirs
+}
+
+// queued is a waiting job as the last round saw it.
+type queued struct {
+	job  *bookkeeping.Job
+	view JobView
+}
+
+// teamViews adds the teams to a snapshot and gives their places in it. Tasks
+// that unsettled machines may hold count as used.
+func (t *Term) teamViews(s *Snapshot) map[string]int {
+	teams := make(map[string]int, len(t.ledger.Teams))
+	for _, name := range sortedKeys(t.ledger.Teams) {
+		team := t.ledger.Teams[name]
+		teams[name] = len(s.Teams)
+		s.Teams = append(s.Teams, TeamView{Guarantee: team.Guarantee, Limit: team.Limit, Used: team.Used, Freeing: team.Freeing})
+	}
+	if t.allConfirmed {
+		return teams
+	}
+	for j := range t.ledger.UnconfirmedJobs() {
+		if i, ok := teams[j.Spec.Team]; ok {
+			s.Teams[i].Used = s.Teams[i].Used.Plus(j.Spec.Need, j.UnconfirmedTasks())
+		}
+	}
+	return teams
+}
+
+// accepts tells whether a machine may be given work.
+func (t *Term) accepts(m *bookkeeping.Machine, now units.Micros) bool {
+	return m.Seen && m.Term == t.number && m.Undelivered < maxUndelivered && !m.SetAside && !m.Releasing && m.NoticeEnds == 0 && m.Size.CPU > 0 &&
+		now >= m.BlockedUntil && now-m.LastAnswered < t.silentAfter()
+}
+
+// startPatience is how long a job may wait for its first task until that goes
+// before everything else: half of the four minutes in which every job is to
+// begin.
+const startPatience = 120 * units.Second
+
+// overdue tells whether a job has waited too long and has nothing done yet.
+func (t *Term) overdue(j *bookkeeping.Job) bool {
+	return j.DoneCount() == 0 && !(j.Service() && j.Begun) && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
+}
+
+// patient tells whether a job waits before tasks of others are stopped for it.
+// What is stopped has to be done again, and in a large fleet tasks end all the
+// time: where they leave room enough for the job in a part of what the users'
+// aims allow, it waits that long.
+func (t *Term) patient(j *bookkeeping.Job, now units.Micros) bool {
+	patience := 2 * units.Second
+	if j.Spec.Priority < protocol.High {
+		if due := t.Settings.Fleet.GuaranteeDue(); due > 0 {
+			patience = due / 4
+		}
+	} else if due := t.Settings.Fleet.StartDue(j.Spec.Class); due > 0 {
+		patience = due / 8
+	}
+	return now-j.Since < patience && t.completions.within(patience) >= j.Spec.Need.CPU*units.Amount(j.Pending())
+}
+
+// placeable tells whether tasks of a job may be placed now.
+func (t *Term) placeable(j *bookkeeping.Job, now units.Micros) bool {
+	return j.Waiting() && now >= j.RetryAt && len(j.Unconfirmed) == 0
+}
+
+func (t *Term) machineView(m *bookkeeping.Machine, now units.Micros, answering bool) MachineView {
+	next := max(0, m.LastAnswered+t.Settings.Fleet.Workers.Report()-now)
+	return MachineView{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Accepts: t.accepts(m, now),
+		FetchRate: units.AmountOf(t.ledger.Types[m.Type].FetchRate),
+		Size:      m.Size, Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering,
+		Reports: int(next / (units.Second / 2))}
+}
+
+// spread fills in where a job's tasks are, for jobs that care.
+func (t *Term) spread(view *JobView, j *bookkeeping.Job) {
+	view.LiveIn, view.LiveOn = nil, nil
+	if j.Spec.OneZone || j.Spec.Spread || j.Spec.Shape == protocol.Service {
+		view.LiveIn = map[string]int{}
+		for _, a := range j.Live {
+			view.LiveIn[a.Machine.Zone]++
+		}
+	}
+	if j.Spec.Shape == protocol.Service {
+		view.LiveOn = map[int]int{} // filled by the machines' numbers
+	}
+}
+
+func (t *Term) snapshot(now units.Micros, answering *bookkeeping.Machine) (Snapshot, *snapshotRefs) {
+	var s Snapshot
+	refs := new(snapshotRefs)
+	t.completions.pass(now)
+	teams := t.teamViews(&s)
+	waiting := 0
+	committed := make([]units.Resources, len(s.Teams))
+	views := make(map[*bookkeeping.Job]*JobView, len(t.ledger.Jobs))
+	t.queue = t.queue[:0]
+	services := false
+	for _, j := range t.jobsInOrder() {
+		team, ok := teams[j.Spec.Team]
+		if !ok {
+			continue
+		}
+		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
+		g := s.Teams[team].Guarantee
+		in := t.rankInput(j)
+		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(), Live: len(j.Live),
+			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
+			Patient:    t.patient(j, now),
+			Late:       in.Late, Rank: t.Policy.Rank(in), Overdue: t.overdue(j) && len(j.Live) == 0}
+		view.Avoid = func(m string) bool { return j.ErrorsOn[m] && len(j.ErrorsOn) < 3 || !j.CanName(m) }
+		views[j] = view
+		if j.Cancelled || !j.Accepted() {
+			continue
+		}
+		t.queue = append(t.queue, queued{j, *view})
+		if !t.placeable(j, now) {
+			continue
+		}
+		t.spread(view, j)
+		if view.LiveOn != nil {
+			services = true
+		}
+		waiting += view.Pending
+		s.Jobs = append(s.Jobs, *view)
+		refs.jobs = append(refs.jobs, j)
+	}
+	slices.SortFunc(t.queue, func(a, b queued) int { return compareJobs(&a.view, &b.view) })
+	for _, m := range t.ledger.Ordered() {
+		if !m.Seen {
+			continue
+		}
+		t.drain(m, now)
+		view := t.machineView(m, now, m == answering)
+		if services {
+			for _, a := range m.Attempts {
+				if v := views[a.Job]; v != nil && v.LiveOn != nil {
+					v.LiveOn[len(refs.machines)]++
+				}
+			}
+		}
+		if view.Accepts {
+			view.Victims = func() []Victim { return t.victims(m, teams, views, refs, now) }
+		}
+		s.Machines = append(s.Machines, view)
+		refs.machines = append(refs.machines, m)
+	}
+	t.updateHeadroom(&s, refs.machines)
+	s.Batch = min(batchBase+waiting/8, batchMost)
+	return s, refs
+}
+
+// victims lists the tasks on a machine that could be stopped.
+func (t *Term) victims(m *bookkeeping.Machine, teams map[string]int, views map[*bookkeeping.Job]*JobView, refs *snapshotRefs, now units.Micros) []Victim {
+	out := make([]Victim, 0, len(m.Attempts))
+	for _, a := range m.Sorted() {
+		team, ok := teams[a.Job.Spec.Team]
+		if !ok || views[a.Job] == nil || a.Stop || a.Stage != bookkeeping.Running && a.Stage != bookkeeping.Fetching {
+			continue
+		}
+		if t.overdue(a.Job) && len(a.Job.Live) == 1 {
+			continue // all that its job has, after a long wait
+		}
+		v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need, Job: views[a.Job]}
+		if a.Stage == bookkeeping.Running {
+			v.Loses = now - a.RunningSince
+		}
+		if a.Job.Spec.Checkpoint > 0 {
+			v.Loses = a.Job.Spec.Save
+		}
+		if a.Job.Service() {
+			v.Loses += serviceLoss
+		}
+		refs.victims = append(refs.victims, a)
+		out = append(out, v)
+	}
+	return out
+}
+
+// serviceLoss puts replicas of services last among the tasks of their priority
+// that could be stopped: what they lose is not work that can be done again.
+const serviceLoss = 1_000_000 * units.Second
+
+func (t *Term) rankInput(j *bookkeeping.Job) config.RankInput {
+	waited := max(0, t.Clock.Wall()-j.Submitted)
+	estimate := t.ledger.Estimate(j)
+	in := config.RankInput{
+		Class: j.Spec.Class, Team: j.Spec.Team, Priority: int(j.Spec.Priority),
+		Tasks: j.Spec.Tasks, Unfinished: j.Unfinished(), Pending: j.Pending(),
+		WaitedS: waited.Seconds(), RunS: estimate.Seconds(),
+		WorkS: estimate.Seconds() * float64(j.Unfinished()) * j.Spec.Need.CPU.Float(),
+		DueS:  config.NoDeadline, StartDueS: config.NoDeadline,
+	}
+	in.FinishS = in.RunS
+	if team := t.ledger.Teams[j.Spec.Team]; team != nil && team.Limit.CPU > 0 {
+		in.FinishS = max(in.RunS, in.WorkS/team.Limit.CPU.Float())
+	}
+	for _, due := range t.Settings.Fleet.Dues(j.Spec.Class, j.Spec.Deadline) {
+		in.DueS = (due - waited).Seconds()
+		in.Late = in.DueS < in.FinishS*estimateTrust
+		if !in.Late {
+			break
+		}
+	}
+	if due := t.Settings.Fleet.StartDue(j.Spec.Class); due > 0 {
+		in.StartDueS = (due - waited).Seconds()
+	}
+	return in
+}
+
+// estimateTrust is the part of an estimate that is relied on to call a job late:
+// estimates are often wrong by half, and what is called late waits behind all
+// the rest, though it might have been in time.
+const estimateTrust = 2.0 / 3
+
+// jobsInOrder lists the jobs in the order of their submission.
+func (t *Term) jobsInOrder() []*bookkeeping.Job {
+	jobs := make([]*bookkeeping.Job, 0, len(t.ledger.Jobs))
+	for _, j := range t.ledger.Jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool {
+		if a, b := jobs[i].Submitted, jobs[k].Submitted; a != b {
+			return a < b
+		}
+		return jobs[i].Spec.ID < jobs[k].Spec.ID
+	})
+	return jobs
+}
--- /dev/null
+++ b/internal/coordination/summary.go
@@ -0,0 +1,42 @@
+package coordination
+
+import (
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// summary logs how full the fleet is and what waits.
+func (t *Term) summary(now units.Micros) {
+	var size, used units.Resources
+	reporting := 0
+	for _, m := range t.ledger.Machines {
+		if m.Seen && now-m.LastAnswered < t.silentAfter() {
+			reporting++
+			size, used = size.Plus(m.Size, 1), used.Plus(m.Used, 1)
+		}
+	}
+	var pending [protocol.Priorities]int
+	for _, j := range t.ledger.Jobs {
+		pending[j.Spec.Priority] += j.Pending()
+	}
+	var running units.Resources
+	for _, m := range t.ledger.Machines {
+		for _, a := range m.Attempts {
+			if a.Stage == bookkeeping.Running {
+				running = running.Plus(a.Job.Spec.Need, 1)
+			}
+		}
+	}
+	full := 0
+	for _, team := range t.ledger.Teams {
+		if team.Used.CPU > team.Limit.CPU*9/10 {
+			full++
+		}
+	}
+	t.Log.Info("fleet", "machines", reporting, "cpus", size.CPU.Float(), "cpus_used", used.CPU.Float(), "cpus_running", running.CPU.Float(),
+		"pending_low", pending[protocol.Low], "pending_normal", pending[protocol.Normal],
+		"pending_high", pending[protocol.High], "pending_prod", pending[protocol.Production],
+		"jobs", len(t.ledger.Jobs), "teams_near_limit", full, "round_cost_us", int64(t.roundCost),
+		"state_requests", t.Store.Stats.Requests.Load(), "state_writes", t.Store.Stats.Writes.Load())
+}
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -251,7 +251,7 @@
 	spec.Tasks = 1
 	j := l.NewJob(spec, clock.now, clock.now)
 	save := func() {
-		if s := l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, clock.now); s != nil {
+		if s := l.BuildSave("2-1", term.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, clock.now); s != nil {
 			l.Applied(s, 1)
 		}
 	}
@@ -288,7 +288,7 @@
 	l := term.ledger
 	j := l.NewJob(*modelSpec("j-000001"), clock.now, clock.now)
 	save := func() {
-		l.Applied(l.BuildSave("2-1", term.heads, bookkeeping.SaveLimits{Tasks: true}, clock.now), 1)
+		l.Applied(l.BuildSave("2-1", term.bucketVersions, bookkeeping.SaveLimits{Tasks: true}, clock.now), 1)
 	}
 	save()
 	m := l.Machine("i-000001", "m", "a", true, clock.now)
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -66,7 +66,7 @@
 	Tasks    []TaskReport
 }
 
-type beat struct {
+type wireReport struct {
 	Dune     *string  `cbor:"dune"`
 	Endpoint string   `cbor:"endpoint"`
 	Loom     *string  `cbor:"loom"`
@@ -79,7 +79,7 @@
 	Bolts    Raw      `cbor:"bolts"`
 }
 
-type beatBolt struct {
+type wireTask struct {
 	Bolt  string `cbor:"bolt"`
 	Try   uint64 `cbor:"try"`
 	Stage string `cbor:"stage"`
@@ -128,7 +128,7 @@
 }
 
 func parseTasks(raw Raw) ([]TaskReport, error) {
-	var bolts []beatBolt
+	var bolts []wireTask
 	if len(raw) > 0 {
 		if err := decoder.Unmarshal(raw, &bolts); err != nil {
 			return nil, fmt.Errorf("bolts: not valid: %w", err)
@@ -152,7 +152,7 @@
 
 // Parse reads and checks a worker's report.
 func (p *ReportReader) Parse(body []byte) (*Report, error) {
-	var w beat
+	var w wireReport
 	if err := Decode(body, &w); err != nil {
 		return nil, err
 	}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -43,7 +43,7 @@
 	pace    Pace
 	nodes   []string // names of the controllers, reached at NAME and UsersPort
 	net     *Network
-	referee *Referee
+	referee *RuleChecker
 	random  *rand.Rand
 	client  *http.Client
 
@@ -72,9 +72,9 @@
 
 // Trouble is what befalls a machine.
 type Trouble struct {
-	Deaf bool // its reports arrive; answers and direct commands are lost
-	Mute bool // it reaches no controller; direct commands reach it
-	Cut  bool // neither
+	AnswersLost bool // its reports arrive; answers and direct commands are lost
+	ReportsLost bool // it reaches no controller; direct commands reach it
+	Cut         bool // neither
 	// Copied is the share of reports of which a copy arrives again later.
 	Copied float64
 	// Held is the share of reports that get no answer and arrive only later.
@@ -84,7 +84,7 @@
 }
 
 // NewMachine makes a machine; Run starts its worker.
-func NewMachine(info MachineInfo, typ string, spot bool, cpus float64, pace Pace, nodes []string, net *Network, referee *Referee, random *rand.Rand) *Machine {
+func NewMachine(info MachineInfo, typ string, spot bool, cpus float64, pace Pace, nodes []string, net *Network, referee *RuleChecker, random *rand.Rand) *Machine {
 	return &Machine{MachineInfo: info, Type: typ, Spot: spot, CPUs: cpus, pace: pace, nodes: nodes, net: net, referee: referee, random: random,
 		client:  &http.Client{Transport: &http.Transport{DialContext: net.Dialer(info.ID), DisableKeepAlives: true}},
 		session: 1, leaseFrom: time.Now(), tasks: map[string]*machineTask{}}
@@ -237,7 +237,7 @@
 		var status int
 		var answer []byte
 		switch {
-		case trouble.Mute || trouble.Cut:
+		case trouble.ReportsLost || trouble.Cut:
 		case held:
 			go m.later(ctx, body)
 			sleep(ctx, workerGivesUp)
@@ -247,7 +247,7 @@
 		for ctx.Err() == nil && m.isHung() {
 			sleep(ctx, machineStep)
 		}
-		if trouble.Deaf && status != 0 {
+		if trouble.AnswersLost && status != 0 {
 			sleep(ctx, workerGivesUp-time.Since(sent))
 			status = 0
 		}
@@ -370,7 +370,7 @@
 	m.mu.Lock()
 	trouble := m.trouble
 	m.mu.Unlock()
-	if trouble.Deaf || trouble.Cut {
+	if trouble.AnswersLost || trouble.Cut {
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(trouble.Slow)
--- a/internal/standin/referee.go
+++ b/internal/standin/rulechecker.go
@@ -10,13 +10,13 @@
 	"dunestand/internal/protocol"
 )
 
-// Referee holds the protocol's rules against what machines do and what users
+// RuleChecker holds the protocol's rules against what machines do and what users
 // are told. It knows nothing of what the controllers think.
-type Referee struct {
+type RuleChecker struct {
 	mu       sync.Mutex
 	cancel   time.Duration
 	limit    float64 // processors of the only team
-	jobs     map[string]*refereed
+	jobs     map[string]*checkedJob
 	on       map[taskName]map[string]*MachineInfo // machines that a task is on
 	broken   []string
 	late     int // starts after a confirmed cancellation
@@ -44,7 +44,7 @@
 // MachineInfo is where a task is.
 type MachineInfo struct{ ID, Zone string }
 
-type refereed struct {
+type checkedJob struct {
 	JobInfo
 	known     bool // its user was told that it is accepted
 	asked     bool // its user wants it cancelled
@@ -54,35 +54,35 @@
 	done      map[int]bool
 }
 
-// NewReferee holds a team to a limit of processors, and cancelled tasks to a time.
-func NewReferee(limit float64, cancel time.Duration) *Referee {
-	return &Referee{cancel: cancel, limit: limit, jobs: map[string]*refereed{}, on: map[taskName]map[string]*MachineInfo{}}
+// NewRuleChecker holds a team to a limit of processors, and cancelled tasks to a time.
+func NewRuleChecker(limit float64, cancel time.Duration) *RuleChecker {
+	return &RuleChecker{cancel: cancel, limit: limit, jobs: map[string]*checkedJob{}, on: map[taskName]map[string]*MachineInfo{}}
 }
 
-func (r *Referee) breach(format string, args ...any) {
+func (r *RuleChecker) breach(format string, args ...any) {
 	if len(r.broken) < 20 {
 		r.broken = append(r.broken, fmt.Sprintf(format, args...))
 	}
 }
 
 // Submitted notes that a user sends a job.
-func (r *Referee) Submitted(j JobInfo) {
+func (r *RuleChecker) Submitted(j JobInfo) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.jobs[j.ID] == nil {
-		r.jobs[j.ID] = &refereed{JobInfo: j, done: map[int]bool{}, answered: time.Now()}
+		r.jobs[j.ID] = &checkedJob{JobInfo: j, done: map[int]bool{}, answered: time.Now()}
 	}
 }
 
 // Asked notes that a user wants a job cancelled.
-func (r *Referee) Asked(id string) {
+func (r *RuleChecker) Asked(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.jobs[id].asked = true
 }
 
 // Job describes a job to a worker, and tells whether it was submitted.
-func (r *Referee) Job(id string) (JobInfo, bool) {
+func (r *RuleChecker) Job(id string) (JobInfo, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if j := r.jobs[id]; j != nil {
@@ -92,7 +92,7 @@
 }
 
 // Answered holds an answer to a user against what was told before.
-func (r *Referee) Answered(id string, repeat bool, status int, stage protocol.Stage) {
+func (r *RuleChecker) Answered(id string, repeat bool, status int, stage protocol.Stage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[id]
@@ -127,7 +127,7 @@
 }
 
 // Started holds the start of a task on a machine against the rules.
-func (r *Referee) Started(job string, index int, m *MachineInfo) {
+func (r *RuleChecker) Started(job string, index int, m *MachineInfo) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j, name := r.jobs[job], taskName{job, index}
@@ -161,7 +161,7 @@
 }
 
 // Ended notes that a task is not on a machine any more.
-func (r *Referee) Ended(job string, index int, machine string, done bool) {
+func (r *RuleChecker) Ended(job string, index int, machine string, done bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	name := taskName{job, index}
@@ -175,7 +175,7 @@
 }
 
 // Look holds what is on machines against the cancellations told to users.
-func (r *Referee) Look() {
+func (r *RuleChecker) Look() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, machines := range r.on {
@@ -189,28 +189,28 @@
 }
 
 // Broken lists the rules that were broken.
-func (r *Referee) Broken() []string {
+func (r *RuleChecker) Broken() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.broken)
 }
 
 // LateStarts counts starts of tasks whose users had been told of the cancellation.
-func (r *Referee) LateStarts() int {
+func (r *RuleChecker) LateStarts() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.late
 }
 
 // Starts counts all starts.
-func (r *Referee) Starts() int {
+func (r *RuleChecker) Starts() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.attempts
 }
 
 // On counts the tasks of a job that are on machines.
-func (r *Referee) On(job string) int {
+func (r *RuleChecker) On(job string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
@@ -223,14 +223,14 @@
 }
 
 // Told gives what the user of a job was told last.
-func (r *Referee) Told(job string) protocol.Stage {
+func (r *RuleChecker) Told(job string) protocol.Stage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.jobs[job].told
 }
 
 // Confirmed counts the jobs whose users were told that they are cancelled.
-func (r *Referee) Confirmed() int {
+func (r *RuleChecker) Confirmed() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
@@ -243,7 +243,7 @@
 }
 
 // Open lists the accepted jobs whose users have not been told of their end.
-func (r *Referee) Open() []string {
+func (r *RuleChecker) Open() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
@@ -257,7 +257,7 @@
 
 // Unanswered lists the accepted jobs that are not over and about which no question
 // was answered for a time.
-func (r *Referee) Unanswered(d time.Duration) []string {
+func (r *RuleChecker) Unanswered(d time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
--- a/node/day_test.go
+++ b/node/day_test.go
@@ -29,7 +29,7 @@
 	t        *testing.T
 	ctx      context.Context
 	net      *standin.Network
-	referee  *standin.Referee
+	rules    *standin.RuleChecker
 	state    *standin.State
 	random   *rand.Rand
 	settings config.Fleet
@@ -98,7 +98,7 @@
 		if p.memoryMB == 0 {
 			p.memoryMB = dayMemory
 		}
-		d := &day{t: t, ctx: ctx, net: standin.NewNetwork(), referee: standin.NewReferee(p.limit, p.cancel), state: standin.NewState(),
+		d := &day{t: t, ctx: ctx, net: standin.NewNetwork(), rules: standin.NewRuleChecker(p.limit, p.cancel), state: standin.NewState(),
 			random: rand.New(rand.NewPCG(p.seed, 7)), began: time.Now()}
 		all := dayCPUs * float64(p.machines)
 		d.settings = config.Fleet{Zones: dayZones,
@@ -126,7 +126,7 @@
 		}
 		go func() {
 			for ctx.Err() == nil {
-				d.referee.Look()
+				d.rules.Look()
 				d.wait(100 * time.Millisecond)
 			}
 		}()
@@ -134,13 +134,13 @@
 		troubles(d)
 		d.calm()
 		d.wait(90 * time.Second)
-		if open := d.referee.Open(); len(open) > 0 {
+		if open := d.rules.Open(); len(open) > 0 {
 			t.Errorf("90 s after the troubles these jobs are not over: %v", open)
 		}
-		if d.referee.Starts() == 0 {
+		if d.rules.Starts() == 0 {
 			t.Error("nothing ran")
 		}
-		for _, b := range d.referee.Broken() {
+		for _, b := range d.rules.Broken() {
 			t.Error(b)
 		}
 		cancel()
@@ -253,7 +253,7 @@
 		names = append(names, n.name)
 	}
 	machine := standin.NewMachine(standin.MachineInfo{ID: m.ID, Zone: m.Zone}, m.Type, m.Spot, dayCPUs,
-		standin.Pace{Report: units.Seconds(d.settings.Workers.ReportS).Duration(), Lease: dayLease}, names, d.net, d.referee, rand.New(rand.NewPCG(d.random.Uint64(), 2)))
+		standin.Pace{Report: units.Seconds(d.settings.Workers.ReportS).Duration(), Lease: dayLease}, names, d.net, d.rules, rand.New(rand.NewPCG(d.random.Uint64(), 2)))
 	d.machines = append(d.machines, machine)
 	go machine.Run(d.ctx)
 }
@@ -327,7 +327,7 @@
 	status, raw := d.ask(node, method, path, body)
 	var s protocol.JobState
 	_ = protocol.Decode(raw, &s)
-	d.referee.Answered(id, repeat, status, s.Stage)
+	d.rules.Answered(id, repeat, status, s.Stage)
 	return status, s.Stage
 }
 
@@ -352,7 +352,7 @@
 // until it is over.
 func (d *day) submit(j standin.JobInfo) {
 	d.t.Helper()
-	d.referee.Submitted(j)
+	d.rules.Submitted(j)
 	first := d.random.IntN(dayNodes)
 	for try := 0; ; try++ {
 		if status, _ := d.told((first+try)%dayNodes, j.ID, false, http.MethodPost, "/submissions", described(j)); status == 200 || status == 201 {
@@ -364,7 +364,7 @@
 		d.wait(time.Second)
 	}
 	go func() {
-		for try := 0; d.ctx.Err() == nil && !d.referee.Told(j.ID).Final(); try++ {
+		for try := 0; d.ctx.Err() == nil && !d.rules.Told(j.ID).Final(); try++ {
 			d.wait(3 * time.Second)
 			d.told((first+try)%dayNodes, j.ID, false, http.MethodGet, "/submissions/"+j.ID, nil)
 		}
@@ -373,7 +373,7 @@
 
 // cancel has a user ask until the job is cancelled, or done.
 func (d *day) cancel(id string) {
-	d.referee.Asked(id)
+	d.rules.Asked(id)
 	go func() {
 		for try := 0; d.ctx.Err() == nil; try++ {
 			if status, stage := d.told((d.users+try)%dayNodes, id, false, http.MethodPost, "/submissions/"+id+"/cancel", nil); status == 200 && stage.Final() {
--- a/node/meetings_test.go
+++ b/node/meetings_test.go
@@ -43,7 +43,7 @@
 func (d *day) on(jobs []standin.JobInfo) int {
 	n := 0
 	for _, j := range jobs {
-		n += d.referee.On(j.ID)
+		n += d.rules.On(j.ID)
 	}
 	return n
 }
@@ -62,7 +62,7 @@
 // confirm has a user's cancellation confirmed by one controller, and tells whether
 // it was.
 func (d *day) confirm(node int, id string) bool {
-	d.referee.Asked(id)
+	d.rules.Asked(id)
 	status, stage := d.told(node, id, false, http.MethodPost, "/submissions/"+id+"/cancel", nil)
 	return status == 200 && stage == protocol.StageCancelled
 }
@@ -91,7 +91,7 @@
 			d.refuse(leader, false)
 			d.outage(false)
 			d.wait(20 * time.Second)
-			confirmed += d.referee.Confirmed()
+			confirmed += d.rules.Confirmed()
 		})
 	}
 	if confirmed < 20 {
@@ -127,7 +127,7 @@
 	play(t, plan{cancel: dayLease * 6 / 10}, func(d *day) {
 		jobs := d.running(4, 4)
 		for i, m := range d.busy() {
-			m.Set(standin.Trouble{Deaf: i%3 == 0, Mute: i%3 == 1})
+			m.Set(standin.Trouble{AnswersLost: i%3 == 0, ReportsLost: i%3 == 1})
 		}
 		d.cancel(jobs[0].ID)
 		d.wait(time.Second)
@@ -138,8 +138,8 @@
 		d.cancel(jobs[2].ID)
 		d.cancel(jobs[3].ID)
 		d.wait(2 * dayLease)
-		if d.referee.Confirmed() != len(jobs) {
-			t.Errorf("%d of %d cancellations are confirmed", d.referee.Confirmed(), len(jobs))
+		if d.rules.Confirmed() != len(jobs) {
+			t.Errorf("%d of %d cancellations are confirmed", d.rules.Confirmed(), len(jobs))
 		}
 	})
 }
@@ -165,7 +165,7 @@
 			t.Error("the cancellation was not confirmed")
 		}
 		d.wait(4 * time.Second)
-		if n := d.referee.LateStarts(); n > 0 {
+		if n := d.rules.LateStarts(); n > 0 {
 			t.Errorf("%d tasks began after their user had been told", n)
 		}
 	})
@@ -201,8 +201,8 @@
 		}
 		d.submit(d.job(6, 5*time.Second))
 		d.wait(dayCancel + 10*time.Second)
-		if d.referee.Confirmed() != len(jobs) {
-			t.Errorf("%d of %d cancellations are confirmed", d.referee.Confirmed(), len(jobs))
+		if d.rules.Confirmed() != len(jobs) {
+			t.Errorf("%d of %d cancellations are confirmed", d.rules.Confirmed(), len(jobs))
 		}
 	})
 }
@@ -260,9 +260,9 @@
 			const runs = 2 * time.Second
 			j := d.job(1+i%3, runs)
 			d.submit(j)
-			d.until("its last task runs", func() bool { return d.referee.On(j.ID) == 1+i%3 })
+			d.until("its last task runs", func() bool { return d.rules.On(j.ID) == 1+i%3 })
 			d.wait(runs + time.Duration(i-24)*60*time.Millisecond)
-			d.referee.Asked(j.ID)
+			d.rules.Asked(j.ID)
 			for k, ask := range []func(){
 				func() {
 					d.told(i%dayNodes, j.ID, false, http.MethodPost, "/submissions/"+j.ID+"/cancel", nil)
@@ -287,11 +287,11 @@
 			d.submit(d.job(4, 15*time.Second))
 		}
 		d.until("all machines are busy", func() bool { return len(d.busy()) == 8 })
-		trouble(d.all()[:6], standin.Trouble{Deaf: true})
+		trouble(d.all()[:6], standin.Trouble{AnswersLost: true})
 		d.restart(d.leader(), time.Second)
-		began := d.referee.Starts()
+		began := d.rules.Starts()
 		d.wait(dayLease + 4*time.Second)
-		if d.referee.Starts() == began {
+		if d.rules.Starts() == began {
 			t.Error("nothing began, though machines that hear have room")
 		}
 	})
@@ -398,7 +398,7 @@
 			d.restart(leader, time.Duration(i)*time.Second)
 		}
 		d.wait(60 * time.Second)
-		if n := d.referee.Starts(); n != tasks {
+		if n := d.rules.Starts(); n != tasks {
 			t.Errorf("%d starts of %d tasks", n, tasks)
 		}
 	})
@@ -441,9 +441,9 @@
 		}
 		j := d.job(12, 20*time.Second)
 		d.submit(j)
-		d.until("it runs", func() bool { return d.referee.On(j.ID) == 12 })
+		d.until("it runs", func() bool { return d.rules.On(j.ID) == 12 })
 		leader, busy := d.leader(), d.busy()
-		trouble(busy, standin.Trouble{Mute: true})
+		trouble(busy, standin.Trouble{ReportsLost: true})
 		d.restart(leader, 300*time.Millisecond)
 		next := d.nodes[d.leader()].name
 		for _, m := range busy {
@@ -537,7 +537,7 @@
 			d.wait(2 * time.Second)
 			for i, m := range d.all() {
 				if i%share == 0 {
-					m.Set(standin.Trouble{Mute: true})
+					m.Set(standin.Trouble{ReportsLost: true})
 				}
 			}
 			d.cancel(jobs[0].ID)
@@ -625,7 +625,7 @@
 			d.submit(d.job(6, 30*time.Second))
 		}
 		d.wait(4 * time.Second)
-		trouble(d.all(), standin.Trouble{Deaf: true})
+		trouble(d.all(), standin.Trouble{AnswersLost: true})
 		d.wait(10 * dayLease)
 	})
 }
@@ -638,7 +638,7 @@
 		j, over := d.job(3, 60*time.Second), d.job(1, time.Second)
 		d.submit(j)
 		d.submit(over)
-		d.until("it is done", func() bool { return d.referee.Told(over.ID) == protocol.StageDone })
+		d.until("it is done", func() bool { return d.rules.Told(over.ID) == protocol.StageDone })
 		check := func(when string, alone bool) {
 			for node := range d.nodes {
 				other := described(j)
--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -51,7 +51,7 @@
 		}
 		d.until("all is cancelled", func() bool {
 			for _, job := range accepted {
-				if d.referee.Told(job.ID) != protocol.StageCancelled {
+				if d.rules.Told(job.ID) != protocol.StageCancelled {
 					return false
 				}
 			}
