--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -37,7 +37,7 @@
 	memory   int64      // that the jobs are reckoned to take
 	// unconfirmed holds, by machine, the jobs whose records name it while nobody has
 	// told us what it holds; inDoubt holds these jobs. Both shrink as machines
-	// settle, so that each costs what it has to do with and not the whole fleet.
+	// are confirmed, so that each costs what it has to do with and not the whole fleet.
 	unconfirmed     map[string][]*Job
 	unconfirmedJobs map[*Job]bool
 }
@@ -143,7 +143,7 @@
 // Add takes in a job read from its record.
 func (l *Ledger) Add(j *Job) {
 	if !l.oldLeaders() && j.format == FormatOld {
-		j.main.dirty, j.changed = true, true // to be turned into the new form
+		j.main.dirty, j.changed = true, true // to be migrated to the new form
 	}
 	j.changed = j.changed || len(j.obsolete) > 0 // a leader died before they were deleted
 	j.setRooms(l.rooms)
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -126,7 +126,7 @@
 		now.Next = rapid.SampledFrom([]*config.State{nil, {ValueKB: 2, TxnOps: 4}, {ValueKB: 1, TxnOps: 3}}).Draw(t, "limits to come")
 		l := NewLedger([]config.Team{{Name: "team"}}, now)
 		s := &store{items: map[string]protocol.Item{}}
-		heads := make([]uint64, Buckets)
+		bucketVersions := make([]uint64, Buckets)
 		limits, format := now, FormatOld
 		saves := 0
 		check := func() {
@@ -171,7 +171,7 @@
 		save := func(most int) {
 			for range most {
 				saves++
-				b := l.BuildSave(fmt.Sprintf("1-%d", saves), heads, SaveLimits{Tasks: true}, 1)
+				b := l.BuildSave(fmt.Sprintf("1-%d", saves), bucketVersions, SaveLimits{Tasks: true}, 1)
 				if b == nil {
 					return
 				}
@@ -300,9 +300,9 @@
 // only once the name is durable.
 func TestMachinesAreNamedBeforeStarts(t *testing.T) {
 	l := NewLedger(nil, config.State{ValueKB: 8, TxnOps: 12})
-	heads := make([]uint64, Buckets)
+	bucketVersions := make([]uint64, Buckets)
 	j := l.NewJob(protocol.JobSpec{ID: "j-000001", Tasks: 2}, 0, 0)
-	build := func() *Save { return l.BuildSave("1-1", heads, SaveLimits{Tasks: true}, 0) }
+	build := func() *Save { return l.BuildSave("1-1", bucketVersions, SaveLimits{Tasks: true}, 0) }
 	l.Applied(build(), 1)
 	m := l.Machine("i-000001", "m", "a", true, 0)
 	a := l.Assign(j, m, 1, 0)
@@ -340,11 +340,11 @@
 // or its leader takes it for another's.
 func TestOldPagesAreSavedWithTheirJob(t *testing.T) {
 	l := NewLedger(nil, config.State{ValueKB: 8, TxnOps: 12})
-	heads := make([]uint64, Buckets)
+	bucketVersions := make([]uint64, Buckets)
 	j := l.NewJob(protocol.JobSpec{ID: "j-000001", Tasks: 40_000}, 0, 0)
-	l.Applied(l.BuildSave("1-1", heads, SaveLimits{}, 0), 1)
+	l.Applied(l.BuildSave("1-1", bucketVersions, SaveLimits{}, 0), 1)
 	l.Done(j, 20_000, 0)
-	s := l.BuildSave("1-2", heads, SaveLimits{Tasks: true}, 10)
+	s := l.BuildSave("1-2", bucketVersions, SaveLimits{Tasks: true}, 10)
 	if s.Probe() != KeyJob("j-000001") || len(s.Txn.Then) != 2 {
 		t.Errorf("known by %s, %d changes", s.Probe(), len(s.Txn.Then))
 	}
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -32,7 +32,7 @@
 // write is one change in a job's records.
 type write struct {
 	change   protocol.Change
-	cell     *shard   // nil: something is deleted
+	shard    *shard   // nil: something is deleted
 	machines []string // that the record names
 	with     bool     // only together with the one before
 }
@@ -117,9 +117,9 @@
 }
 
 // BuildSave gathers what is to be written now, what somebody waits for first.
-// heads are the versions of the buckets' heads, on which every save is
+// bucketVersions are the versions of the buckets' heads, on which every save is
 // conditional. It gives nil if there is nothing to write.
-func (l *Ledger) BuildSave(id string, heads []uint64, limits SaveLimits, now units.Micros) *Save {
+func (l *Ledger) BuildSave(id string, bucketVersions []uint64, limits SaveLimits, now units.Micros) *Save {
 	var due []*Job
 	for _, j := range l.Jobs {
 		if j.changed && !j.saving && (j.urgent || limits.Tasks && now-j.changedSince >= limits.Lazy) {
@@ -147,7 +147,7 @@
 	head := func(b int) {
 		if !seen[b] {
 			seen[b] = true
-			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: KeyHead(b), Version: heads[b]})
+			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: KeyHead(b), Version: bucketVersions[b]})
 		}
 	}
 	ops, size := l.ops(), 0
@@ -160,7 +160,7 @@
 			continue // until it may be divided
 		}
 		if len(all) == 0 {
-			j.settled()
+			j.nothingToSave()
 			continue
 		}
 		n, bytes := cut(all, ops-len(s.Txn.Then), maxSaveBytes-size, len(s.parts) == 0)
@@ -177,8 +177,8 @@
 			s.Txn.If = append(s.Txn.If, protocol.Condition{Key: j.main.key, Version: j.main.version})
 		}
 		for _, w := range part.writes {
-			if w.cell != nil {
-				s.Txn.If = append(s.Txn.If, protocol.Condition{Key: w.cell.key, Version: w.cell.version})
+			if w.shard != nil {
+				s.Txn.If = append(s.Txn.If, protocol.Condition{Key: w.shard.key, Version: w.shard.version})
 			}
 			s.Txn.Then = append(s.Txn.Then, w.change)
 		}
@@ -207,7 +207,7 @@
 	}
 	return slices.ContainsFunc(all, func(w write) bool {
 		size := len(w.change.Value)
-		if w.cell == j.main {
+		if w.shard == j.main {
 			size = jsonSize(j.record(longestSave, w.machines))
 		}
 		return size > l.state.Both().ValueBytes()
@@ -279,7 +279,7 @@
 			return
 		}
 		machines := j.named(j.main)
-		out = append(out, write{cell: j.main, machines: machines,
+		out = append(out, write{shard: j.main, machines: machines,
 			change: protocol.Change{Set: j.main.key, Value: protocol.Encode(j.record(id, machines))}})
 		inbox()
 	}
@@ -289,7 +289,7 @@
 	for _, n := range slices.Sorted(maps.Keys(j.parts)) {
 		if c := j.parts[n]; c.dirty {
 			machines := j.named(c)
-			out = append(out, write{cell: c, machines: machines,
+			out = append(out, write{shard: c, machines: machines,
 				change: protocol.Change{Set: c.key, Value: protocol.Encode(names{FormatNew, id, machines})}})
 		}
 	}
@@ -303,7 +303,7 @@
 			if format != 0 {
 				p.Save = id
 			}
-			out = append(out, write{cell: c, change: protocol.Change{Set: c.key, Value: protocol.Encode(p)}})
+			out = append(out, write{shard: c, change: protocol.Change{Set: c.key, Value: protocol.Encode(p)}})
 		}
 	}
 	if j.migrating {
@@ -329,8 +329,8 @@
 
 func sortedNames(machines map[string]bool) []string { return slices.Sorted(maps.Keys(machines)) }
 
-// settled notes that a job has nothing to be written after all.
-func (j *Job) settled() {
+// nothingToSave notes that a job has nothing to be written after all.
+func (j *Job) nothingToSave() {
 	j.changed, j.urgent = false, false
 	for _, w := range append(j.waiting, j.saved) {
 		close(w)
@@ -346,11 +346,11 @@
 		j.changed, j.urgent = false, false
 	}
 	for _, w := range part.writes {
-		if w.cell == nil {
+		if w.shard == nil {
 			continue
 		}
-		w.cell.dirty = false
-		for _, m := range sortedNames(w.cell.machines) {
+		w.shard.dirty = false
+		for _, m := range sortedNames(w.shard.machines) {
 			if !j.inUse(m) {
 				j.drop(m)
 			}
@@ -417,7 +417,7 @@
 // written takes over that one of the job's changes was carried out.
 func (j *Job) written(w write, revision uint64) {
 	switch {
-	case w.cell == nil:
+	case w.shard == nil:
 		key := w.change.Delete
 		j.arrived = j.arrived && key != KeyInbox(j.Spec.ID)
 		j.obsolete = slices.DeleteFunc(j.obsolete, func(o string) bool { return o == key })
@@ -427,13 +427,13 @@
 			}
 		}
 		return
-	case w.cell == j.main:
+	case w.shard == j.main:
 		j.stored, j.migrating = true, false
 	}
-	w.cell.version = revision
+	w.shard.version = revision
 	for _, m := range w.machines {
-		if _, named := w.cell.machines[m]; named {
-			w.cell.machines[m] = true
+		if _, named := w.shard.machines[m]; named {
+			w.shard.machines[m] = true
 		}
 	}
 }
@@ -441,9 +441,9 @@
 // leave notes what is left of a job that is over.
 func (l *Ledger) leave(j *Job) {
 	keys := j.obsolete
-	for _, cells := range []map[int]*shard{j.parts, j.pages, j.oldPages} {
-		for _, n := range slices.Sorted(maps.Keys(cells)) {
-			if c := cells[n]; c.version != 0 {
+	for _, shards := range []map[int]*shard{j.parts, j.pages, j.oldPages} {
+		for _, n := range slices.Sorted(maps.Keys(shards)) {
+			if c := shards[n]; c.version != 0 {
 				keys = append(keys, c.key)
 			}
 		}
@@ -468,8 +468,8 @@
 		j.unsaved.addAll(j.inSave)
 		clear(j.inSave)
 		for _, w := range p.writes {
-			if w.cell != nil {
-				w.cell.dirty = true
+			if w.shard != nil {
+				w.shard.dirty = true
 			}
 		}
 		j.Changed(now, true)
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -150,9 +150,9 @@
 // Commit carries out a transaction and gives its revision. It fails with
 // ErrRefused, ErrUncertain, ErrRejected or a ConflictError. It first waits for the write
 // budget; a renewal of the fleet lease is counted but does not wait.
-func (s *Store) Commit(ctx context.Context, txn protocol.Txn, hurry bool, limit units.Micros) (uint64, error) {
+func (s *Store) Commit(ctx context.Context, txn protocol.Txn, urgent bool, limit units.Micros) (uint64, error) {
 	_, writes := s.limiters()
-	if n := len(txn.Then); hurry {
+	if n := len(txn.Then); urgent {
 		writes.ReserveN(time.Now(), n)
 	} else if err := writes.WaitN(ctx, n); err != nil {
 		return 0, ErrRefused
--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -14,7 +14,7 @@
 	announceAgain = 4 * units.Second
 	announceLeast = 4 // at once, in a small fleet
 	announceMost  = 24
-	announceShare = 32 // of the machines in doubt are told at once
+	announceShare = 32 // of the unconfirmed machines are told at once
 )
 
 // announceCalls is how long each try waits. In a large fleet hundreds may be
@@ -25,7 +25,7 @@
 // announceLoop tells the machines that records name, and that have not reported
 // yet, which term it is: by an empty list of direct commands, which has no
 // effect at any later time but to show the worker our term. The answer is a
-// report that settles what the machine holds, and the worker looks for the new
+// report that tells what the machine holds, and the worker looks for the new
 // leader at once instead of when its next report is due.
 func (t *Term) announceLoop(ctx context.Context) {
 	caller := transport.NewCaller(t.Dial, protocol.MaxBody)
@@ -65,8 +65,8 @@
 	}
 }
 
-// unannounced gives the endpoints of machines that are in doubt and have not
-// reported in this term, and whether any machine is in doubt at all.
+// unannounced gives the endpoints of machines that are unconfirmed and have not
+// reported in this term, and whether any machine is unconfirmed at all.
 func (t *Term) unannounced() (open bool, endpoints map[string]string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/coordination/announce_test.go
+++ b/internal/coordination/announce_test.go
@@ -23,17 +23,17 @@
 	j := term.ledger.Jobs["j-000001"]
 	const last = "i-000099"
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(encodeReport(beat(last, 1, 1, term.number), nil))
+		_, _ = w.Write(encodeReport(testReport(last, 1, 1, term.number), nil))
 	}))
 	defer worker.Close()
-	doubt := func(id, endpoint string) {
+	unconfirm := func(id, endpoint string) {
 		term.ledger.Machine(id, "m", "a", true, clock.now).Endpoint = endpoint
 		term.ledger.MarkUnconfirmed(j, id)
 	}
 	for i := range 32 {
-		doubt(fmt.Sprintf("i-%06d", i), hanging.Addr().String())
+		unconfirm(fmt.Sprintf("i-%06d", i), hanging.Addr().String())
 	}
-	doubt(last, worker.Listener.Addr().String())
+	unconfirm(last, worker.Listener.Addr().String())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -44,12 +44,12 @@
 		cancel()
 		<-done
 	}()
-	settled := func() bool {
+	confirmed := func() bool {
 		term.mu.Lock()
 		defer term.mu.Unlock()
 		return !term.ledger.IsUnconfirmed(last)
 	}
-	for deadline := time.Now().Add(10 * time.Second); !settled(); time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(10 * time.Second); !confirmed(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the machine that answers was not told")
 		}
--- a/internal/coordination/delay_test.go
+++ b/internal/coordination/delay_test.go
@@ -65,7 +65,7 @@
 	term, clock := guardTerm(t, 1)
 	report := func(from, to int, seq uint64) {
 		for i := from; i < to; i++ {
-			term.observe(beat(fmt.Sprintf("i-%06d", i), 1, seq, 7), clock.now)
+			term.observe(testReport(fmt.Sprintf("i-%06d", i), 1, seq, 7), clock.now)
 		}
 	}
 	report(0, 30, 1)
--- a/internal/coordination/format_test.go
+++ b/internal/coordination/format_test.go
@@ -141,7 +141,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	settled := func(done func() bool) {
+	eventually := func(done func() bool) {
 		t.Helper()
 		for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 			term.mu.Lock()
@@ -169,7 +169,7 @@
 		return func() bool { return term.ledger.Jobs[large].MayStartOn(fmt.Sprintf("i-%06d", to-1)) }
 	}
 	name(0, 300)
-	settled(named(300))
+	eventually(named(300))
 	s.Limit(2<<10, 4, 600)
 	name(300, 310) // its record is too large by now; the rest goes on
 	for i := range 10 {
@@ -180,16 +180,16 @@
 		t.Errorf("%d saves were rejected", n)
 	}
 	term.Format.level.Store(bookkeeping.FormatNew)
-	settled(named(310))
+	eventually(named(310))
 	name(310, 900)
-	settled(named(900))
+	eventually(named(900))
 	term.mu.Lock()
 	for i := range protocol.MaxTasks {
 		term.ledger.Done(term.ledger.Jobs[large], i, 0)
 	}
 	term.mu.Unlock()
 	signal(term.saveSignal)
-	settled(func() bool { return term.ledger.Jobs[large] == nil })
+	eventually(func() bool { return term.ledger.Jobs[large] == nil })
 	for deadline := time.Now().Add(20 * time.Second); len(s.Keys(bookkeeping.KeyJob(large))) > 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("left over: %v", s.Keys(bookkeeping.KeyJob(large)))
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -52,18 +52,18 @@
 	return t.commands(m, r, now)
 }
 
-func beat(machine string, session, seq, term uint64) *protocol.Report {
+func testReport(machine string, session, seq, term uint64) *protocol.Report {
 	return &protocol.Report{Machine: machine, Type: "m", Zone: "a", Spot: true, Session: session, Seq: seq, Term: term}
 }
 
 // A zone that is cut off falls silent as a whole while the rest of the fleet,
 // which is much larger, reports. It must not be released: its machines work on
 // and are back after the cut. A single machine of another zone is released.
-func TestCutZoneIsNotGivenAway(t *testing.T) {
+func TestCutZoneIsKept(t *testing.T) {
 	term, clock := guardTerm(t, 1)
 	report := func(seq uint64, skip func(i int) bool) {
 		for i := range 40 {
-			r := beat(fmt.Sprintf("i-%06d", i), 1, seq, 7)
+			r := testReport(fmt.Sprintf("i-%06d", i), 1, seq, 7)
 			if i < 8 {
 				r.Zone = "cut"
 			}
@@ -86,7 +86,7 @@
 // A leader that begins while a zone is cut off knows the zone's machines from
 // the cloud's list alone. They run: on a day of our own 147 of them were given
 // away, as if they had never come up.
-func TestUnheardZoneIsNotGivenAway(t *testing.T) {
+func TestZoneThatNeverReportedIsKept(t *testing.T) {
 	term, clock := guardTerm(t, 1)
 	for i, stage := range []string{protocol.MachineRunning, protocol.MachineRunning, protocol.MachineBooting} {
 		m := term.ledger.Machine(fmt.Sprintf("i-%06d", i), "m", "cut", false, clock.now-500*units.Second)
@@ -105,17 +105,17 @@
 // A machine whose reports arrive but which carries nothing out gets no more
 // work and is returned; what was sent there is waiting again. On one that hears
 // again nothing is held against it.
-func TestDeafMachineIsReturned(t *testing.T) {
+func TestMachineWithoutAnswersIsReturned(t *testing.T) {
 	term, clock := guardTerm(t, 8)
 	for i := range 4 {
 		for seq := uint64(1); seq <= 2; seq++ {
-			term.observe(beat(fmt.Sprintf("i-%06d", i+1), 1, seq, 7), clock.now)
+			term.observe(testReport(fmt.Sprintf("i-%06d", i+1), 1, seq, 7), clock.now)
 		}
 	}
-	deaf := "i-000000"
+	lost := "i-000000"
 	starts := 0
 	for seq := uint64(1); seq < 10; seq++ {
-		for _, c := range term.exchange(beat(deaf, 1, seq, 7)) {
+		for _, c := range term.exchange(testReport(lost, 1, seq, 7)) {
 			if c.Verb == protocol.Start {
 				starts++
 			}
@@ -124,25 +124,25 @@
 	if starts == 0 || starts > maxUndelivered*modelMachine {
 		t.Errorf("%d starts were sent to a machine that never carried one out", starts)
 	}
-	if m := term.ledger.Machines[deaf]; term.accepts(m, clock.now) || len(m.Attempts) > 0 {
-		t.Error("a deaf machine is given work")
+	if m := term.ledger.Machines[lost]; term.accepts(m, clock.now) || len(m.Attempts) > 0 {
+		t.Error("a machine that gets no answers is given work")
 	}
-	if silent := term.silentMachines(clock.now); !silent[deaf] || len(silent) != 1 {
+	if silent := term.silentMachines(clock.now); !silent[lost] || len(silent) != 1 {
 		t.Errorf("to be released: %v", silent)
 	}
 }
 
-// A machine that was thought deaf is told nothing any more, so no command can show
+// A machine that was thought to get no answers is told nothing any more, so no command can show
 // that it hears again. Its session does: without an answer it would begin another one
-// within its lease. Where too many were deaf for any to be returned, they would else
+// within its lease. Where too many got none for any to be returned, they would else
 // never get work again, with jobs waiting.
-func TestDeafMachineHearsAgain(t *testing.T) {
+func TestMachineWithAnswersGetsWorkAgain(t *testing.T) {
 	term, clock := guardTerm(t, 8)
 	const id = "i-000000"
 	seq := uint64(0)
 	report := func(session uint64) *bookkeeping.Machine {
 		seq++
-		term.exchange(beat(id, session, seq, 7))
+		term.exchange(testReport(id, session, seq, 7))
 		return term.ledger.Machines[id]
 	}
 	for range 10 {
@@ -150,9 +150,9 @@
 	}
 	m := report(1)
 	if m.Undelivered < maxUndelivered {
-		t.Fatal("the machine is not thought deaf")
+		t.Fatal("the machine is not thought to get no answers")
 	}
-	// Deaf still: a new session each lease.
+	// No answers still: a new session each lease.
 	for session := uint64(2); session < 5; session++ {
 		for range 8 {
 			clock.now += modelLease / 8
@@ -167,15 +167,15 @@
 			return
 		}
 	}
-	t.Error("a machine that stays in its session beyond its lease is thought deaf")
+	t.Error("a machine that stays in its session beyond its lease is thought to get no answers")
 }
 
-// A machine that hears some of its answers is not deaf.
+// A machine that hears some of its answers gets enough of them.
 func TestLostAnswerIsForgiven(t *testing.T) {
 	term, clock := guardTerm(t, 8)
 	var last []protocol.TaskReport
 	for seq := uint64(1); seq < 6; seq++ {
-		r := beat("i-000001", 1, seq, 7)
+		r := testReport("i-000001", 1, seq, 7)
 		r.Tasks = last
 		out := term.exchange(r)
 		if seq%2 == 0 { // every other answer is lost
@@ -198,12 +198,12 @@
 }
 
 // Copies of reports come late, of machines that are gone or that this term does
-// not know. They bring no room for work, settle nothing and renew nothing.
-func TestLateCopiesBringNoPhantom(t *testing.T) {
+// not know. They bring no room for work, confirm nothing and renew nothing.
+func TestLateReportsChangeNothing(t *testing.T) {
 	term, clock := guardTerm(t, 1)
 	// Of a machine that worked under an earlier term and is gone.
 	for seq := uint64(5); seq < 9; seq++ {
-		if out := term.exchange(beat("i-000001", 3, seq, 6)); len(out) > 0 {
+		if out := term.exchange(testReport("i-000001", 3, seq, 6)); len(out) > 0 {
 			t.Fatalf("a machine that has not shown this term is sent %v", out)
 		}
 	}
@@ -211,28 +211,28 @@
 		t.Error("it may be given work")
 	}
 	// Of one that was released in this term, however late.
-	term.observe(beat("i-000002", 1, 1, 7), clock.now)
+	term.observe(testReport("i-000002", 1, 1, 7), clock.now)
 	term.ledger.Remove(term.ledger.Machines["i-000002"], clock.now)
 	term.markReleased("i-000002", clock.now)
 	clock.now += 600 * units.Second
-	if m := term.observe(beat("i-000002", 1, 9, 7), clock.now); m != nil || term.ledger.Machines["i-000002"] != nil {
+	if m := term.observe(testReport("i-000002", 1, 9, 7), clock.now); m != nil || term.ledger.Machines["i-000002"] != nil {
 		t.Error("a released machine is back")
 	}
 	// Of one that is known: the older report has no effect.
-	m := term.observe(beat("i-000003", 2, 4, 7), clock.now)
+	m := term.observe(testReport("i-000003", 2, 4, 7), clock.now)
 	heard := m.LastAnswered
 	clock.now += 5 * units.Second
-	for _, r := range []*protocol.Report{beat("i-000003", 2, 4, 7), beat("i-000003", 1, 99, 7)} {
+	for _, r := range []*protocol.Report{testReport("i-000003", 2, 4, 7), testReport("i-000003", 1, 99, 7)} {
 		if term.observe(r, clock.now) != nil || m.LastAnswered != heard {
 			t.Error("an old report renews the machine's lease")
 		}
 	}
-	// A doubt stays whatever an earlier term's report says.
+	// A machine stays unconfirmed whatever an earlier term's report says.
 	j := term.ledger.Jobs["j-000001"]
 	term.ledger.MarkUnconfirmed(j, "i-000004")
-	term.observe(beat("i-000004", 1, 1, 6), clock.now)
+	term.observe(testReport("i-000004", 1, 1, 6), clock.now)
 	if !j.Unconfirmed["i-000004"] {
-		t.Error("a report from before this term settles a doubt")
+		t.Error("a report from before this term confirms a machine")
 	}
 }
 
@@ -261,7 +261,7 @@
 				term.save()
 			}
 			for i := range 2 {
-				r := beat(fmt.Sprintf("i-%06d", i), 1, uint64(step+1), 7)
+				r := testReport(fmt.Sprintf("i-%06d", i), 1, uint64(step+1), 7)
 				if m := term.ledger.Machines[r.Machine]; m != nil {
 					for _, a := range m.Sorted() {
 						if a.Stage == bookkeeping.Assigned {
@@ -300,7 +300,7 @@
 	})
 }
 
-// A machine's answer to the announcement settles it, but only as its first word
+// A machine's answer to the announcement confirms it, but only as its first word
 // in the term. Once it has reported by itself, a start may be on its way to it
 // that such a report does not show; taking the start for lost would run the task
 // twice.
@@ -309,19 +309,19 @@
 	j := term.ledger.Jobs["j-000001"]
 	term.ledger.MarkUnconfirmed(j, "i-000001")
 	term.ledger.Machine("i-000001", "m", "a", true, clock.now)
-	term.announced(beat("i-000001", 1, 5, 7))
+	term.announced(testReport("i-000001", 1, 5, 7))
 	if len(j.Unconfirmed) > 0 {
-		t.Error("a report that shows this term does not settle the doubt")
+		t.Error("a report that shows this term does not confirm the machine")
 	}
-	if out := term.exchange(beat("i-000001", 1, 6, 7)); len(out) != 2 || out[0].Verb != protocol.Start {
+	if out := term.exchange(testReport("i-000001", 1, 6, 7)); len(out) != 2 || out[0].Verb != protocol.Start {
 		t.Fatalf("no starts: %v", out)
 	}
-	term.announced(beat("i-000001", 1, 7, 7))
+	term.announced(testReport("i-000001", 1, 7, 7))
 	if len(j.Live) != 2 {
 		t.Error("starts that are on their way are taken for lost")
 	}
 	// A machine that the ledger does not know is not brought in this way.
-	if term.announced(beat("i-000009", 1, 1, 7)); term.ledger.Machines["i-000009"] != nil {
+	if term.announced(testReport("i-000009", 1, 1, 7)); term.ledger.Machines["i-000009"] != nil {
 		t.Error("an unknown machine is taken in")
 	}
 }
@@ -344,7 +344,7 @@
 
 // A job waits for tasks to end by themselves only where enough of them do: in a
 // small fleet its tasks would start late for nothing.
-func TestPatienceNeedsTurnover(t *testing.T) {
+func TestPatienceNeedsCompletions(t *testing.T) {
 	term, clock := guardTerm(t, 10)
 	j := term.ledger.Jobs["j-000001"]
 	j.Spec.Priority = protocol.High
@@ -366,10 +366,10 @@
 	}
 }
 
-// While machines are in doubt, a leader's regular look at the fleet costs no
+// While machines are unconfirmed, a leader's regular look at the fleet costs no
 // more for all that the records name: it once gathered every name of every job
 // each time, 40 times a second, when a term begins and there is most to do.
-func TestDoubtsCostNothingWhileTheyLast(t *testing.T) {
+func TestUnconfirmedMachinesCostNothing(t *testing.T) {
 	allocs := func(jobs, machines int) float64 {
 		term, clock := guardTerm(t, 1)
 		for i := range jobs {
@@ -435,9 +435,9 @@
 	return stats.HeapAlloc
 }
 
-// Each machine that settles is struck off the jobs that name it and no others;
-// the last one leaves nothing in doubt, whatever became of the jobs meanwhile.
-func TestDoubtsEndWithMachinesAndJobs(t *testing.T) {
+// Each machine that is confirmed is struck off the jobs that name it and no others;
+// the last one leaves nothing unconfirmed, whatever became of the jobs meanwhile.
+func TestUnconfirmedEndsWithMachinesAndJobs(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		term, clock := guardTerm(t, 1)
 		l := term.ledger
@@ -463,7 +463,7 @@
 				got++
 			}
 			if got != want {
-				rt.Fatalf("%d jobs in doubt, %d have doubts", got, want)
+				rt.Fatalf("%d jobs unconfirmed, %d name machines", got, want)
 			}
 			if jobs := sortedKeys(named); len(jobs) > 0 && rapid.Bool().Draw(rt, "a job ends first") {
 				l.Drop(jobs[0])
@@ -471,11 +471,11 @@
 			}
 			l.Confirm(id)
 			if l.IsUnconfirmed(id) {
-				rt.Fatal("a settled machine is in doubt")
+				rt.Fatal("a confirmed machine is unconfirmed")
 			}
 		}
 		if l.UnconfirmedCount() != 0 || len(l.UnconfirmedMachines()) != 0 {
-			rt.Fatalf("still in doubt: %v", l.UnconfirmedMachines())
+			rt.Fatalf("still unconfirmed: %v", l.UnconfirmedMachines())
 		}
 	})
 }
@@ -490,11 +490,11 @@
 		term.Settings.Fleet.Workers.ReportS = seconds
 		gap := units.Seconds(seconds).Share(5, 4)
 		for i := range 5 {
-			term.observe(beat(fmt.Sprintf("i-%06d", i), 1, 1, 7), clock.now)
+			term.observe(testReport(fmt.Sprintf("i-%06d", i), 1, 1, 7), clock.now)
 		}
 		clock.now += gap + 5*units.Second
 		for i := range 4 {
-			term.observe(beat(fmt.Sprintf("i-%06d", i), 1, 2, 7), clock.now)
+			term.observe(testReport(fmt.Sprintf("i-%06d", i), 1, 2, 7), clock.now)
 		}
 		if len(term.silentMachines(clock.now)) != 0 {
 			t.Errorf("reports every %v s: one that got no answer counts as silence", seconds)
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -122,8 +122,8 @@
 	sentAt        units.Micros
 	answer        *protocol.ReportAnswer // on its way
 	reportSession uint64
-	deaf          bool // its reports arrive, answers do not reach it
-	mute          bool // it reaches no controller; direct commands reach it
+	answersLost   bool // its reports arrive, answers do not reach it
+	reportsLost   bool // it reaches no controller; direct commands reach it
 	hungUntil     units.Micros
 }
 
@@ -354,7 +354,7 @@
 }
 
 func (m *model) report() {
-	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && !w.awaited && !w.mute && !m.hung(w) {
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && !w.awaited && !w.reportsLost && !m.hung(w) {
 		m.reportOf(w)
 	}
 }
@@ -420,7 +420,7 @@
 }
 
 func (m *model) deliverTo(w *modelWorker) {
-	lost := w.deaf || !m.calm && rapid.IntRange(0, 5).Draw(m.t, "answer lost") == 0
+	lost := w.answersLost || !m.calm && rapid.IntRange(0, 5).Draw(m.t, "answer lost") == 0
 	a := w.answer
 	w.awaited, w.answer = false, nil
 	if lost || a == nil || m.clock.now-w.sentAt > workerWaits || a.Term < w.token || w.reportSession != w.session {
@@ -503,7 +503,7 @@
 	}
 }
 
-// write sends the leader's next save, or settles the one on its way.
+// write sends the leader's next save, or completes the one on its way.
 func (m *model) write() {
 	l := m.leader.ledger
 	if m.save == nil {
@@ -678,7 +678,7 @@
 // announce tells a worker the term; its answer may come late.
 func (m *model) announce() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
-	if !w.alive || w.deaf || m.hung(w) {
+	if !w.alive || w.answersLost || m.hung(w) {
 		return
 	}
 	w.token = m.leader.number
@@ -716,16 +716,16 @@
 	m.fall()
 }
 
-// deafen cuts a worker off from answers, or ends that.
-func (m *model) deafen() {
+// loseAnswers cuts a worker off from answers, or ends that.
+func (m *model) loseAnswers() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
-	w.deaf = !w.deaf
+	w.answersLost = !w.answersLost
 }
 
-// silence keeps a worker's reports from all controllers, or ends that.
-func (m *model) silence() {
+// loseReports keeps a worker's reports from all controllers, or ends that.
+func (m *model) loseReports() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
-	w.mute = !w.mute
+	w.reportsLost = !w.reportsLost
 }
 
 // hang stops a worker for a while, and cancels a job that runs there.
@@ -760,12 +760,12 @@
 	}
 }
 
-// settle ends all troubles and plays on until every accepted job that was not
+// endTroubles ends all troubles and plays on until every accepted job that was not
 // cancelled is done. Nothing may be forgotten, and nothing may wait for ever.
-func (m *model) settle() {
+func (m *model) endTroubles() {
 	m.calm = true
 	for _, w := range m.workers {
-		w.deaf, w.mute, w.hungUntil = false, false, 0
+		w.answersLost, w.reportsLost, w.hungUntil = false, false, 0
 	}
 	m.finishUpgrade()
 	m.land()
@@ -856,12 +856,12 @@
 		}
 		m.begin()
 		actions := []func(){m.submit, m.report, m.report, m.report, m.deliver, m.deliver, m.deliver, m.work, m.work,
-			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.deafen, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall, m.silence, m.hang, m.cancelAtEnd, m.repeat}
+			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.loseAnswers, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall, m.loseReports, m.hang, m.cancelAtEnd, m.repeat}
 		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22, 23, 23, 23, 23, 23, 23, 24, 24, 24, 25, 26, 26, 27, 27, 28, 28, 29}
 		for range rapid.IntRange(50, 250).Draw(t, "steps") {
 			actions[rapid.SampledFrom(weights).Draw(t, "action")]()
 			m.check()
 		}
-		m.settle()
+		m.endTroubles()
 	})
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -147,7 +147,7 @@
 			rest := j.Pending - 1
 			j.Pending = 1
 			p.place(i, j)
-			s.Teams[j.Team].Closed = p.headroom(j) == 0
+			s.Teams[j.Team].Closed = p.teamRoom(j) == 0
 			if j.Pending > 0 {
 				p.preempt(i, j)
 				p.hold(i, j, 1)
@@ -159,7 +159,7 @@
 		if j.Pending > 0 {
 			// Jobs of small tasks must not take what is left of the limit
 			// bit by bit, or a larger task would wait for ever.
-			s.Teams[j.Team].Closed = p.headroom(j) == 0
+			s.Teams[j.Team].Closed = p.teamRoom(j) == 0
 			p.preempt(i, j)
 			if j.Patient && j.Spec.Priority >= protocol.High {
 				p.hold(i, j, j.Pending)
@@ -197,8 +197,8 @@
 	)
 }
 
-// headroom is how many more tasks of the job its team's limit allows.
-func (p *planner) headroom(j *JobView) int {
+// teamRoom is how many more tasks of the job its team's limit allows.
+func (p *planner) teamRoom(j *JobView) int {
 	t := &p.s.Teams[j.Team]
 	return t.Limit.Plus(t.Used, -1).Fits(j.Spec.Need)
 }
@@ -253,12 +253,12 @@
 	oneByOne := j.Spec.Shape == protocol.Service
 	for again := true; again; {
 		again = false
-		if min(j.Pending, p.batch, p.headroom(j)) <= 0 {
+		if min(j.Pending, p.batch, p.teamRoom(j)) <= 0 {
 			return
 		}
 		for _, c := range p.findCompanions(j) {
 			m := &p.s.Machines[c.machine]
-			n := min(j.Pending, p.batch, p.headroom(j), m.freeFor(j).Fits(j.Spec.Need), zoneRoom(j, m.Zone))
+			n := min(j.Pending, p.batch, p.teamRoom(j), m.freeFor(j).Fits(j.Spec.Need), zoneRoom(j, m.Zone))
 			if n <= 0 {
 				continue
 			}
@@ -337,7 +337,7 @@
 		x, y := &p.s.Machines[a], &p.s.Machines[b]
 		return cmp.Or(-cmp.Compare(x.Size.CPU, y.Size.CPU), -cmp.Compare(x.Free.CPU, y.Free.CPU))
 	})
-	for _, k := range fit[:min(len(fit), n, p.headroom(j))] {
+	for _, k := range fit[:min(len(fit), n, p.teamRoom(j))] {
 		p.s.Machines[k].Held = true
 		p.out.Holds = append(p.out.Holds, Hold{Machine: k, For: i})
 	}
@@ -346,7 +346,7 @@
 // placeGang starts all of a gang's tasks or none. While some of its tasks may
 // still be on machines, the rest waits for them to end.
 func (p *planner) placeGang(i int, j *JobView) {
-	if j.Live > 0 || p.headroom(j) < j.Pending {
+	if j.Live > 0 || p.teamRoom(j) < j.Pending {
 		return
 	}
 	machines, pending, batch, starts := slices.Clone(p.s.Machines), j.Pending, p.batch, len(p.out.Starts)
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -198,7 +198,7 @@
 }
 
 // maxUndelivered is how many answers in a row may have no effect on a machine until
-// it counts as deaf: it reports, but commands do not reach it. It then gets no
+// no answer is taken to reach it: it reports, but commands do not reach it. It then gets no
 // work and is returned as one that is silent would be.
 const maxUndelivered = 2
 
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -83,7 +83,7 @@
 	}
 	t.ready = true
 	close(t.restored)
-	t.Log.Info("records restored", "jobs", len(jobs), "doubtful_machines", t.ledger.UnconfirmedCount(), "took_ms", (now-t.claimedAt)/units.Millisecond)
+	t.Log.Info("records restored", "jobs", len(jobs), "unconfirmed_machines", t.ledger.UnconfirmedCount(), "took_ms", (now-t.claimedAt)/units.Millisecond)
 	signal(t.roundSignal)
 }
 
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -23,7 +23,7 @@
 	term.save()
 	f := &serviceFleet{t: t, term: term, clock: clock, machines: map[string]*protocol.Report{}}
 	for i, zone := range []string{"a", "a", "b", "b"} {
-		r := beat(fmt.Sprintf("i-%06d", i), 1, 0, 7)
+		r := testReport(fmt.Sprintf("i-%06d", i), 1, 0, 7)
 		r.Zone = zone
 		f.machines[r.Machine] = r
 	}
@@ -365,7 +365,7 @@
 func TestServicesDoNotKeepTheReserve(t *testing.T) {
 	term, clock, f := serviceTerm(t, 2, false)
 	for i := range 30 {
-		r := beat(fmt.Sprintf("i-%06d", 100+i), 1, 0, 7)
+		r := testReport(fmt.Sprintf("i-%06d", 100+i), 1, 0, 7)
 		f.machines[r.Machine] = r
 	}
 	term.ledger.Teams["team"].Guarantee, term.ledger.Teams["team"].Limit = cpus(100), cpus(200)
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -121,14 +121,14 @@
 		// What a former leader started is over everywhere, but on machines that
 		// accepted an answer of this one since: and these have told what they hold,
 		// as an answer is accepted only to the newest report. A machine that hears
-		// no answer would otherwise stay in doubt for as long as it reports.
+		// no answer would otherwise stay unconfirmed for as long as it reports.
 		for _, id := range t.ledger.UnconfirmedMachines() {
 			t.ledger.Confirm(id)
 		}
 	}
 	if !t.allConfirmed && t.ready && t.ledger.UnconfirmedCount() == 0 {
 		t.allConfirmed = true
-		t.Log.Info("all machines settled", "after_ms", (now-t.claimedAt)/units.Millisecond)
+		t.Log.Info("all machines confirmed", "after_ms", (now-t.claimedAt)/units.Millisecond)
 	}
 	for _, j := range t.ledger.Jobs {
 		if j.Cancelled && len(j.Live) == 0 && len(j.Unconfirmed) == 0 && j.CancelStored && !j.Ending() {
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -34,18 +34,18 @@
 
 // Machine is a machine with a worker that keeps the whole protocol: sessions and
 // leases, terms, one report in flight, direct commands, images. It tells the
-// Referee what is on it.
+// RuleChecker what is on it.
 type Machine struct {
 	MachineInfo
-	Type    string
-	Spot    bool
-	CPUs    float64
-	pace    Pace
-	nodes   []string // names of the controllers, reached at NAME and UsersPort
-	net     *Network
-	referee *RuleChecker
-	random  *rand.Rand
-	client  *http.Client
+	Type   string
+	Spot   bool
+	CPUs   float64
+	pace   Pace
+	nodes  []string // names of the controllers, reached at NAME and UsersPort
+	net    *Network
+	rules  *RuleChecker
+	random *rand.Rand
+	client *http.Client
 
 	mu        sync.Mutex
 	gone      bool
@@ -84,8 +84,8 @@
 }
 
 // NewMachine makes a machine; Run starts its worker.
-func NewMachine(info MachineInfo, typ string, spot bool, cpus float64, pace Pace, nodes []string, net *Network, referee *RuleChecker, random *rand.Rand) *Machine {
-	return &Machine{MachineInfo: info, Type: typ, Spot: spot, CPUs: cpus, pace: pace, nodes: nodes, net: net, referee: referee, random: random,
+func NewMachine(info MachineInfo, typ string, spot bool, cpus float64, pace Pace, nodes []string, net *Network, rules *RuleChecker, random *rand.Rand) *Machine {
+	return &Machine{MachineInfo: info, Type: typ, Spot: spot, CPUs: cpus, pace: pace, nodes: nodes, net: net, rules: rules, random: random,
 		client:  &http.Client{Transport: &http.Transport{DialContext: net.Dialer(info.ID), DisableKeepAlives: true}},
 		session: 1, leaseFrom: time.Now(), tasks: map[string]*machineTask{}}
 }
@@ -137,7 +137,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.tasks)) {
 		t := m.tasks[name]
 		if t.stage == "running" || t.stage == "flushing" {
-			m.referee.Ended(t.job.ID, t.index, m.ID, false)
+			m.rules.Ended(t.job.ID, t.index, m.ID, false)
 		}
 	}
 	clear(m.tasks)
@@ -188,10 +188,10 @@
 		switch t.stage {
 		case "fetching":
 			t.stage, t.until = "running", now.Add(t.left)
-			m.referee.Started(t.job.ID, t.index, &m.MachineInfo)
+			m.rules.Started(t.job.ID, t.index, &m.MachineInfo)
 		case "running":
 			t.stage, t.cause, t.until = "ended", protocol.CauseDone, time.Time{}
-			m.referee.Ended(t.job.ID, t.index, m.ID, true)
+			m.rules.Ended(t.job.ID, t.index, m.ID, true)
 		}
 	}
 	return true
@@ -403,7 +403,7 @@
 		case protocol.Stop:
 			if t != nil && t.attempt == c.Attempt && t.stage != "ended" {
 				if t.stage != "fetching" {
-					m.referee.Ended(t.job.ID, t.index, m.ID, false)
+					m.rules.Ended(t.job.ID, t.index, m.ID, false)
 				}
 				t.stage, t.cause, t.until, m.changed = "ended", protocol.CauseStopped, time.Time{}, true
 			}
@@ -421,7 +421,7 @@
 	}
 	id, num, _ := strings.Cut(c.Task, "/")
 	index, _ := strconv.Atoi(num)
-	job, known := m.referee.Job(id)
+	job, known := m.rules.Job(id)
 	used := job.CPUs
 	for _, o := range m.tasks {
 		if o.stage != "ended" {
--- a/node/day_test.go
+++ b/node/day_test.go
@@ -24,7 +24,7 @@
 
 // day is a few minutes of a small deployment: whole controllers, machines, users, a
 // state service and a cloud, on a clock of its own. Tests bring troubles about and
-// then ask the referee, which sees what machines do and users are told.
+// then ask the rule checker, which sees what machines do and users are told.
 type day struct {
 	t        *testing.T
 	ctx      context.Context
@@ -322,7 +322,7 @@
 	return resp.StatusCode, raw, resp.Header
 }
 
-// told asks a controller about a job and has the referee hear the answer.
+// told asks a controller about a job and has the rule checker hear the answer.
 func (d *day) told(node int, id string, repeat bool, method, path string, body any) (int, protocol.Stage) {
 	status, raw := d.ask(node, method, path, body)
 	var s protocol.JobState
--- a/node/meetings_test.go
+++ b/node/meetings_test.go
@@ -12,7 +12,7 @@
 )
 
 // One test for each meeting of troubles that has broken a rule on real machines. What
-// must never happen is the referee's to say; each test says what it brings about.
+// must never happen is the rule checker's to say; each test says what it brings about.
 
 const long = 300 * time.Second // of a task that ends only by cancellation
 
@@ -279,9 +279,9 @@
 }
 
 // A leader ends while most machines with long tasks hear no answer.
-// Their tasks end with their leases, and then begin on the others, though the deaf ones
+// Their tasks end with their leases, and then begin on the others, though those that get no answers
 // report on and never show the new term.
-func TestLeaderEndsWhileMachinesAreDeaf(t *testing.T) {
+func TestLeaderEndsWhileAnswersAreLost(t *testing.T) {
 	play(t, plan{machines: 8}, func(d *day) {
 		for range 8 {
 			d.submit(d.job(4, 15*time.Second))
@@ -529,7 +529,7 @@
 }
 
 // Workers can't open connections to any controller, while direct commands reach them.
-func TestMuteMachines(t *testing.T) {
+func TestMachinesThatReachNoController(t *testing.T) {
 	for _, share := range []int{3, 1} {
 		play(t, plan{seed: uint64(share)}, func(d *day) {
 			jobs := d.running(2, 4)
@@ -619,7 +619,7 @@
 
 // Most machines hear no answers for longer than their lease. Once they do again, they
 // get work, though they were thought to carry nothing out.
-func TestDeafFleetRecovers(t *testing.T) {
+func TestFleetWithoutAnswersRecovers(t *testing.T) {
 	play(t, plan{}, func(d *day) {
 		for range 4 {
 			d.submit(d.job(6, 30*time.Second))
