--- a/cmd/dunestand/main.go
+++ b/cmd/dunestand/main.go
@@ -49,7 +49,8 @@
 		Example: `  dunestand check settings.json      # is the settings file valid?
   dunestand policy check site.policy # is the policy valid?
   LOG_LEVEL=info dunestand --config settings.json`,
-		SilenceErrors: true, SilenceUsage: true,
+		SilenceErrors: true,
+		SilenceUsage:  true,
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) > 0 {
 				return badInput{fmt.Errorf("unknown command %q; see dunestand --help", args[0])}
@@ -64,9 +65,10 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 
 	check := &cobra.Command{
-		Use: "check FILE", Short: "Check a settings file",
-		Long: "Check a settings file, and the policy that it names. Prints nothing but what is wrong, and then exits with status 2.",
-		Args: oneArgument,
+		Use:   "check FILE",
+		Short: "Check a settings file",
+		Long:  "Check a settings file, and the policy that it names. Prints nothing but what is wrong, and then exits with status 2.",
+		Args:  oneArgument,
 		RunE: func(_ *cobra.Command, args []string) error {
 			_, _, err := load(args[0], "")
 			return err
--- a/cmd/dunestand/main_test.go
+++ b/cmd/dunestand/main_test.go
@@ -30,9 +30,19 @@
 	}
 	broken, badPolicy := write("broken.json", `{"node_name": 7}`), write("bad.policy", "rank = 1 +\n")
 	for _, args := range [][]string{
-		{}, {"--config", filepath.Join(dir, "none.json")}, {"--config", broken}, {"check", broken}, {"check"}, {"check", "a", "b"},
-		{"policy"}, {"policy", "check"}, {"policy", "check", badPolicy}, {"policy", "check", filepath.Join(dir, "none")},
-		{"--colour"}, {"frobnicate"}, {"version", "x"},
+		{},
+		{"--config", filepath.Join(dir, "none.json")},
+		{"--config", broken},
+		{"check", broken},
+		{"check"},
+		{"check", "a", "b"},
+		{"policy"},
+		{"policy", "check"},
+		{"policy", "check", badPolicy},
+		{"policy", "check", filepath.Join(dir, "none")},
+		{"--colour"},
+		{"frobnicate"},
+		{"version", "x"},
 	} {
 		_, err := execute(args...)
 		var bad badInput
--- a/internal/bookkeeping/catalog.go
+++ b/internal/bookkeeping/catalog.go
@@ -29,7 +29,10 @@
 		if len(part) > 0 {
 			key := keyCatalogPart(len(out))
 			kept[key] = true
-			out = append(out, protocol.Change{Set: key, Value: protocol.Encode(protocol.Catalog{Types: part})})
+			out = append(out, protocol.Change{
+				Set:   key,
+				Value: protocol.Encode(protocol.Catalog{Types: part}),
+			})
 			part = nil
 		}
 	}
--- a/internal/bookkeeping/cloud.go
+++ b/internal/bookkeeping/cloud.go
@@ -34,7 +34,10 @@
 
 // NewCloud makes a client of the cloud.
 func NewCloud(dial transport.DialFunc, addr string, limits config.Cloud) *Cloud {
-	return &Cloud{client: transport.NewClient(dial, addr, 3, 1<<20), limit: rate.NewLimiter(rate.Limit(limits.RPS*0.8), max(int(limits.RPS*1.6), 1))}
+	return &Cloud{
+		client: transport.NewClient(dial, addr, 3, 1<<20),
+		limit:  rate.NewLimiter(rate.Limit(limits.RPS*0.8), max(int(limits.RPS*1.6), 1)),
+	}
 }
 
 func (c *Cloud) call(ctx context.Context, method, path string, body, answer any) (int, error) {
--- a/internal/bookkeeping/inbox.go
+++ b/internal/bookkeeping/inbox.go
@@ -30,8 +30,11 @@
 func ArrivalTxn(a Arrival) protocol.Txn {
 	id := a.Spec.ID
 	return protocol.Txn{
-		If:   []protocol.Condition{{Key: KeyInbox(id)}, {Key: KeyJob(id)}, {Key: KeyFinal(id)}},
-		Then: []protocol.Change{{Set: KeyInbox(id), Value: protocol.Encode(newJob(a.Spec, a.Submitted, FormatOld).record("", nil))}},
+		If: []protocol.Condition{{Key: KeyInbox(id)}, {Key: KeyJob(id)}, {Key: KeyFinal(id)}},
+		Then: []protocol.Change{{
+			Set:   KeyInbox(id),
+			Value: protocol.Encode(newJob(a.Spec, a.Submitted, FormatOld).record("", nil)),
+		}},
 	}
 }
 
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -45,12 +45,28 @@
 // NewLedger makes an empty ledger for records in the old form, within the limits
 // of the state service.
 func NewLedger(teams []config.Team, state config.State) *Ledger {
-	l := &Ledger{state: state, rooms: rooms(state.ValueBytes(), state.Both().ValueBytes()), format: FormatOld, Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, Teams: map[string]*Team{},
-		Types: map[string]protocol.MachineType{}, classes: map[string]float64{},
-		unconfirmed: map[string][]*Job{}, unconfirmedJobs: map[*Job]bool{}}
+	l := &Ledger{
+		state:           state,
+		rooms:           rooms(state.ValueBytes(), state.Both().ValueBytes()),
+		format:          FormatOld,
+		Jobs:            map[string]*Job{},
+		Machines:        map[string]*Machine{},
+		Teams:           map[string]*Team{},
+		Types:           map[string]protocol.MachineType{},
+		classes:         map[string]float64{},
+		unconfirmed:     map[string][]*Job{},
+		unconfirmedJobs: map[*Job]bool{},
+	}
 	for _, t := range teams {
-		l.Teams[t.Name] = &Team{Name: t.Name, Limit: LimitOf(t),
-			Guarantee: units.Resources{CPU: units.AmountOf(t.CPUs), GPU: units.AmountOf(t.GPUs), Memory: unlimited}}
+		l.Teams[t.Name] = &Team{
+			Name:  t.Name,
+			Limit: LimitOf(t),
+			Guarantee: units.Resources{
+				CPU:    units.AmountOf(t.CPUs),
+				GPU:    units.AmountOf(t.GPUs),
+				Memory: unlimited,
+			},
+		}
 	}
 	return l
 }
@@ -109,7 +125,11 @@
 
 // SizeOf is what a machine of a type has.
 func SizeOf(t protocol.MachineType) units.Resources {
-	return units.Resources{CPU: units.AmountOf(t.CPUs), GPU: units.AmountOf(t.GPUs), Memory: units.AmountOf(t.MemoryGB)}
+	return units.Resources{
+		CPU:    units.AmountOf(t.CPUs),
+		GPU:    units.AmountOf(t.GPUs),
+		Memory: units.AmountOf(t.MemoryGB),
+	}
 }
 
 func (l *Ledger) size(m *Machine) {
--- a/internal/bookkeeping/ledger_test.go
+++ b/internal/bookkeeping/ledger_test.go
@@ -19,8 +19,12 @@
 		var attempts []*Attempt
 		jobs := []*Job{}
 		for i, n := range []int{1, 4, 9} {
-			jobs = append(jobs, l.NewJob(protocol.JobSpec{ID: "j-00000" + string(rune('0'+i)), Team: "team", Tasks: n,
-				Need: units.Resources{CPU: units.Amount(i + 1)}}, 0, 0))
+			jobs = append(jobs, l.NewJob(protocol.JobSpec{
+				ID:    "j-00000" + string(rune('0'+i)),
+				Team:  "team",
+				Tasks: n,
+				Need:  units.Resources{CPU: units.Amount(i + 1)},
+			}, 0, 0))
 		}
 		number := uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/internal/bookkeeping/production_test.go
+++ b/internal/bookkeeping/production_test.go
@@ -47,7 +47,12 @@
 		t.Fatal(err)
 	}
 	want := map[string]struct{ names, done int }{
-		"j-000001": {3, 2}, "j-000002": {40, 12858}, "j-000003": {600, 0}, "j-000004": {1, 0}, "j-000005": {3, 0}}
+		"j-000001": {3, 2},
+		"j-000002": {40, 12858},
+		"j-000003": {600, 0},
+		"j-000004": {1, 0},
+		"j-000005": {3, 0},
+	}
 	for _, j := range jobs {
 		w := want[j.Spec.ID]
 		if len(j.Unconfirmed) != w.names || j.DoneCount() != w.done || len(old[j.Spec.ID].Machines) != w.names {
@@ -126,7 +131,13 @@
 func TestCatalogInParts(t *testing.T) {
 	var types []protocol.MachineType
 	for i := range 40 {
-		types = append(types, protocol.MachineType{Name: fmt.Sprintf("type-%02d", i), CPUs: 4, MemoryGB: 16.5, Price: 0.25, Zones: []string{"taytay", "baliuag", "mandaue"}})
+		types = append(types, protocol.MachineType{
+			Name:     fmt.Sprintf("type-%02d", i),
+			CPUs:     4,
+			MemoryGB: 16.5,
+			Price:    0.25,
+			Zones:    []string{"taytay", "baliuag", "mandaue"},
+		})
 	}
 	items := map[string]protocol.Item{}
 	stored := map[string]uint64{}
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -195,12 +195,33 @@
 func (j *Job) record(save string, machines []string) record {
 	s := &j.Spec
 	return record{
-		Format: j.format, Save: save, ID: s.ID, Class: s.Class, Team: s.Team, Shape: uint8(s.Shape), Priority: uint8(s.Priority),
-		Tasks: s.Tasks, CPU: s.Need.CPU, GPU: s.Need.GPU, Memory: s.Need.Memory, Types: s.Types, Zone: s.Zone,
-		OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Image: s.Image, ImageSize: s.ImageSize,
-		Estimate: s.Estimate, Checkpoint: s.Checkpoint, SaveTime: s.Save, Deadline: s.Deadline,
-		Submitted: j.Submitted, Cancelled: j.Cancelled, Machines: machines, Done: encodePage(j.inline()),
-		Pages: j.oldPageCount(),
+		Format:     j.format,
+		Save:       save,
+		ID:         s.ID,
+		Class:      s.Class,
+		Team:       s.Team,
+		Shape:      uint8(s.Shape),
+		Priority:   uint8(s.Priority),
+		Tasks:      s.Tasks,
+		CPU:        s.Need.CPU,
+		GPU:        s.Need.GPU,
+		Memory:     s.Need.Memory,
+		Types:      s.Types,
+		Zone:       s.Zone,
+		OneZone:    s.OneZone,
+		Spread:     s.Spread,
+		Spot:       s.Spot,
+		Image:      s.Image,
+		ImageSize:  s.ImageSize,
+		Estimate:   s.Estimate,
+		Checkpoint: s.Checkpoint,
+		SaveTime:   s.Save,
+		Deadline:   s.Deadline,
+		Submitted:  j.Submitted,
+		Cancelled:  j.Cancelled,
+		Machines:   machines,
+		Done:       encodePage(j.inline()),
+		Pages:      j.oldPageCount(),
 	}
 }
 
@@ -256,11 +277,24 @@
 		return nil, r, fmt.Errorf("record %s: out of range", key)
 	}
 	j := newJob(protocol.JobSpec{
-		ID: r.ID, Class: r.Class, Team: r.Team, Shape: protocol.Shape(r.Shape), Priority: protocol.Priority(r.Priority), Tasks: r.Tasks,
-		Need:  units.Resources{CPU: r.CPU, GPU: r.GPU, Memory: r.Memory},
-		Types: r.Types, Zone: r.Zone, OneZone: r.OneZone, Spread: r.Spread, Spot: r.Spot,
-		Image: r.Image, ImageSize: r.ImageSize, Estimate: r.Estimate, Checkpoint: r.Checkpoint,
-		Save: r.SaveTime, Deadline: r.Deadline,
+		ID:         r.ID,
+		Class:      r.Class,
+		Team:       r.Team,
+		Shape:      protocol.Shape(r.Shape),
+		Priority:   protocol.Priority(r.Priority),
+		Tasks:      r.Tasks,
+		Need:       units.Resources{CPU: r.CPU, GPU: r.GPU, Memory: r.Memory},
+		Types:      r.Types,
+		Zone:       r.Zone,
+		OneZone:    r.OneZone,
+		Spread:     r.Spread,
+		Spot:       r.Spot,
+		Image:      r.Image,
+		ImageSize:  r.ImageSize,
+		Estimate:   r.Estimate,
+		Checkpoint: r.Checkpoint,
+		Save:       r.SaveTime,
+		Deadline:   r.Deadline,
 	}, r.Submitted, r.Format)
 	if r.Pages != j.oldPageCount() {
 		return nil, r, fmt.Errorf("record %s: out of range", key)
--- a/internal/bookkeeping/record_test.go
+++ b/internal/bookkeeping/record_test.go
@@ -22,17 +22,28 @@
 	text := rapid.StringMatching(`[a-z0-9 "\\é-]{0,20}`)
 	amount := rapid.Int64Range(0, 1e12)
 	return protocol.JobSpec{
-		ID: fmt.Sprintf("j-%06d", rapid.IntRange(0, 999999).Draw(t, "id")), Class: text.Draw(t, "class"), Team: "team",
+		ID:       fmt.Sprintf("j-%06d", rapid.IntRange(0, 999999).Draw(t, "id")),
+		Class:    text.Draw(t, "class"),
+		Team:     "team",
 		Shape:    protocol.Shape(rapid.IntRange(0, 2).Draw(t, "shape")),
 		Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
 		Tasks:    rapid.SampledFrom([]int{1, 7, 8, 9, 300, 16384, 16385, 40000, protocol.MaxTasks}).Draw(t, "tasks"),
-		Need: units.Resources{CPU: units.Amount(amount.Draw(t, "cpu")), GPU: units.Amount(amount.Draw(t, "gpu")),
-			Memory: units.Amount(amount.Draw(t, "memory"))},
-		Types: rapid.SampledFrom([][]string{nil, {"g8", "g16"}}).Draw(t, "types"), Zone: text.Draw(t, "zone"),
-		OneZone: rapid.Bool().Draw(t, "one zone"), Spread: rapid.Bool().Draw(t, "spread"), Spot: rapid.Bool().Draw(t, "spot"),
-		Image: text.Draw(t, "image"), ImageSize: units.Amount(amount.Draw(t, "image size")),
-		Estimate: units.Micros(amount.Draw(t, "estimate")), Checkpoint: units.Micros(amount.Draw(t, "checkpoint")),
-		Save: units.Micros(amount.Draw(t, "save")), Deadline: units.Micros(amount.Draw(t, "deadline")),
+		Need: units.Resources{
+			CPU:    units.Amount(amount.Draw(t, "cpu")),
+			GPU:    units.Amount(amount.Draw(t, "gpu")),
+			Memory: units.Amount(amount.Draw(t, "memory")),
+		},
+		Types:      rapid.SampledFrom([][]string{nil, {"g8", "g16"}}).Draw(t, "types"),
+		Zone:       text.Draw(t, "zone"),
+		OneZone:    rapid.Bool().Draw(t, "one zone"),
+		Spread:     rapid.Bool().Draw(t, "spread"),
+		Spot:       rapid.Bool().Draw(t, "spot"),
+		Image:      text.Draw(t, "image"),
+		ImageSize:  units.Amount(amount.Draw(t, "image size")),
+		Estimate:   units.Micros(amount.Draw(t, "estimate")),
+		Checkpoint: units.Micros(amount.Draw(t, "checkpoint")),
+		Save:       units.Micros(amount.Draw(t, "save")),
+		Deadline:   units.Micros(amount.Draw(t, "deadline")),
 	}
 }
 
@@ -123,7 +134,10 @@
 func TestSavedJobsAreRestored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := config.State{ValueKB: 16, TxnOps: 12}
-		now.Next = rapid.SampledFrom([]*config.State{nil, {ValueKB: 2, TxnOps: 4}, {ValueKB: 1, TxnOps: 3}}).Draw(t, "limits to come")
+		now.Next = rapid.SampledFrom([]*config.State{nil, {
+			ValueKB: 2,
+			TxnOps:  4,
+		}, {ValueKB: 1, TxnOps: 3}}).Draw(t, "limits to come")
 		l := NewLedger([]config.Team{{Name: "team"}}, now)
 		s := &store{items: map[string]protocol.Item{}}
 		bucketVersions := make([]uint64, Buckets)
@@ -267,8 +281,11 @@
 		"out of range":      {Key: KeyJob("j-000001"), Value: protocol.Encode(other)},
 		"later format":      {Key: KeyJob("j-000001"), Value: protocol.Encode(later)},
 		"unknown part":      {Key: KeyJob("j-000001") + "/x1", Value: protocol.Encode(page{})},
-		"odd number":        {Key: KeyJob("j-000001") + "/m01", Value: protocol.Encode(names{Format: FormatNew})},
-		"page of no job":    {Key: KeyJob("j-000001") + "x/d1", Value: protocol.Encode(page{})},
+		"odd number": {
+			Key:   KeyJob("j-000001") + "/m01",
+			Value: protocol.Encode(names{Format: FormatNew}),
+		},
+		"page of no job": {Key: KeyJob("j-000001") + "x/d1", Value: protocol.Encode(page{})},
 	} {
 		if jobs, _, err := ParseJobs([]protocol.Item{row}); err == nil {
 			t.Errorf("%s: read as %v", name, jobs)
@@ -280,12 +297,18 @@
 // is not taken for a job: it is left over if the job is over, else it is an error
 // that the restore tells.
 func TestPartsOfALaterFormatFailTheWhole(t *testing.T) {
-	good := protocol.Encode(newJob(protocol.JobSpec{ID: "j-000001", Tasks: 5000}, 0, FormatNew).record("1-1", nil))
+	good := protocol.Encode(newJob(protocol.JobSpec{
+		ID:    "j-000001",
+		Tasks: 5000,
+	}, 0, FormatNew).record("1-1", nil))
 	for kind, value := range map[byte]protocol.Raw{
 		kindNames: protocol.Encode(names{Format: Format + 1}),
 		kindPage:  protocol.Encode(page{Format: Format + 1}),
 	} {
-		rows := []protocol.Item{{Key: KeyJob("j-000001"), Value: good}, {Key: keyPart("j-000001", kind, 1), Value: value}}
+		rows := []protocol.Item{
+			{Key: KeyJob("j-000001"), Value: good},
+			{Key: keyPart("j-000001", kind, 1), Value: value},
+		}
 		if _, _, err := ParseJobs(rows); err == nil {
 			t.Errorf("part %c of a later format is read", kind)
 		}
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -82,7 +82,11 @@
 			}
 		}
 		main = min(value, maxRecordBytes) - jsonSize(j.record(longestSave, nil)) - (done/8+1)*4/3 - 64
-		part = min(value, maxPartBytes) - jsonSize(names{Format: FormatNew, Save: longestSave, Machines: []string{}})
+		part = min(value, maxPartBytes) - jsonSize(names{
+			Format:   FormatNew,
+			Save:     longestSave,
+			Machines: []string{},
+		})
 		return main, part
 	}
 }
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -93,13 +93,25 @@
 func NewStore(dial transport.DialFunc, addr string, limits config.State, others int) *Store {
 	b := &budget{limits: limits, others: others}
 	b.set()
-	return &Store{client: transport.NewClient(dial, addr, 8, 4<<20), dial: dial, addr: addr, Stats: new(StoreStats), budget: b}
+	return &Store{
+		client: transport.NewClient(dial, addr, 8, 4<<20),
+		dial:   dial,
+		addr:   addr,
+		Stats:  new(StoreStats),
+		budget: b,
+	}
 }
 
 // Reserved is the same store over connections of its own: a lease must not
 // wait behind requests that hang.
 func (s *Store) Reserved() *Store {
-	return &Store{client: transport.NewClient(s.dial, s.addr, 2, 1<<20), dial: s.dial, addr: s.addr, Stats: s.Stats, budget: s.budget}
+	return &Store{
+		client: transport.NewClient(s.dial, s.addr, 2, 1<<20),
+		dial:   s.dial,
+		addr:   s.addr,
+		Stats:  s.Stats,
+		budget: s.budget,
+	}
 }
 
 // Lead gives this node the leader's share, or takes it away.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,16 +16,29 @@
 
 func goodSettings() map[string]any {
 	return map[string]any{
-		"node_name": "dune-0", "area": "a", "client_listen": "10.0.0.1:8080", "mesh_addr": "10.0.0.1:8081", "colour": "red",
-		"others":   []any{map[string]any{"node_name": "dune-1", "area": "b", "endpoint": "10.0.0.2:8081"}},
+		"node_name":     "dune-0",
+		"area":          "a",
+		"client_listen": "10.0.0.1:8080",
+		"mesh_addr":     "10.0.0.1:8081",
+		"colour":        "red",
+		"others": []any{map[string]any{
+			"node_name": "dune-1",
+			"area":      "b",
+			"endpoint":  "10.0.0.2:8081",
+		}},
 		"services": map[string]any{"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
 		"settings": map[string]any{"zones": []any{"a", "b"},
-			"teams":      []any{map[string]any{"name": "t", "cpus": 4.0, "cpus_max": 8.0}},
-			"objectives": []any{map[string]any{"kind": "finished", "class": "c", "within_s": 90.0}, map[string]any{"kind": "deadline", "class": "d", "times": 1.5}, map[string]any{"kind": "deadline", "class": "d", "times": 1.0}},
-			"workers":    map[string]any{"report_s": 3.0, "lease_s": 26.0, "cancel_s": 46.0},
-			"state":      map[string]any{"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12},
-			"cloud":      map[string]any{"rps": 6.0, "list_lag_s": 4.0},
-			"resources":  map[string]any{"core_share": 0.06, "ram_mb": 125.0, "max_connections": 1200}}}
+			"teams": []any{map[string]any{"name": "t", "cpus": 4.0, "cpus_max": 8.0}},
+			"objectives": []any{
+				map[string]any{"kind": "finished", "class": "c", "within_s": 90.0},
+				map[string]any{"kind": "deadline", "class": "d", "times": 1.5},
+				map[string]any{"kind": "deadline", "class": "d", "times": 1.0},
+			},
+			"workers":   map[string]any{"report_s": 3.0, "lease_s": 26.0, "cancel_s": 46.0},
+			"state":     map[string]any{"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12},
+			"cloud":     map[string]any{"rps": 6.0, "list_lag_s": 4.0},
+			"resources": map[string]any{"core_share": 0.06, "ram_mb": 125.0, "max_connections": 1200}},
+	}
 }
 
 func encode(t *testing.T, v any) []byte {
@@ -58,10 +71,18 @@
 	s := goodSettings()
 	var others, teams []any
 	for i := range 4 {
-		others = append(others, map[string]any{"node_name": fmt.Sprintf("dune-%d", i+1), "area": "b", "endpoint": fmt.Sprintf("10.0.0.%d:8081", i+2)})
+		others = append(others, map[string]any{
+			"node_name": fmt.Sprintf("dune-%d", i+1),
+			"area":      "b",
+			"endpoint":  fmt.Sprintf("10.0.0.%d:8081", i+2),
+		})
 	}
 	for i := range 12 {
-		teams = append(teams, map[string]any{"name": fmt.Sprintf("kitchen-%02d", i), "cpus": 500.0, "cpus_max": 800.0})
+		teams = append(teams, map[string]any{
+			"name":     fmt.Sprintf("kitchen-%02d", i),
+			"cpus":     500.0,
+			"cpus_max": 800.0,
+		})
 	}
 	s["others"], s["settings"].(map[string]any)["teams"] = others, teams
 	parsed, err := Parse(encode(t, s))
@@ -91,10 +112,23 @@
 // Every bad value is refused with one line that names the field.
 func TestBadSettings(t *testing.T) {
 	for path, bad := range map[string][]any{
-		"node_name": {"", 7}, "client_listen": {"", "localhost:80", "10.0.0.1"}, "mesh_addr": {""}, "services.state": {"", "nowhere"},
-		"settings.workers.lease_s": {0.0, -1.0, "long", 3.0, 2.5}, "settings.workers.report_s": {0.0, -1.0, 26.0}, "settings.state.write_rps": {0.0}, "settings.state.txn_ops": {1, 2.5},
-		"settings.state.value_kb": {0.5}, "settings.state.next.value_kb": {0.5, -2.0, "small"},
-		"settings.state.next.txn_ops": {2, -1, 2.5}, "settings.state.next.write_rps": {-1.0}, "settings.state.next": {7, "soon"}, "settings.cloud.list_lag_s": {-1.0}, "settings.resources.ram_mb": {0.0, -1.0}, "settings.resources.core_share": {0.0, -0.5}, "settings.zones": {[]any{}},
+		"node_name":                     {"", 7},
+		"client_listen":                 {"", "localhost:80", "10.0.0.1"},
+		"mesh_addr":                     {""},
+		"services.state":                {"", "nowhere"},
+		"settings.workers.lease_s":      {0.0, -1.0, "long", 3.0, 2.5},
+		"settings.workers.report_s":     {0.0, -1.0, 26.0},
+		"settings.state.write_rps":      {0.0},
+		"settings.state.txn_ops":        {1, 2.5},
+		"settings.state.value_kb":       {0.5},
+		"settings.state.next.value_kb":  {0.5, -2.0, "small"},
+		"settings.state.next.txn_ops":   {2, -1, 2.5},
+		"settings.state.next.write_rps": {-1.0},
+		"settings.state.next":           {7, "soon"},
+		"settings.cloud.list_lag_s":     {-1.0},
+		"settings.resources.ram_mb":     {0.0, -1.0},
+		"settings.resources.core_share": {0.0, -0.5},
+		"settings.zones":                {[]any{}},
 	} {
 		for _, value := range bad {
 			s := goodSettings()
@@ -133,11 +167,23 @@
 	}{
 		{nil, State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12}},
 		{map[string]any{}, State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12}},
-		{map[string]any{"value_kb": 2.0, "txn_ops": 4, "since": "noon"}, State{RPS: 150, WriteRPS: 60, ValueKB: 2, TxnOps: 4}},
-		{map[string]any{"write_rps": 42.0, "value_kb": 64.0}, State{RPS: 150, WriteRPS: 42, ValueKB: 16, TxnOps: 12}},
+		{
+			map[string]any{"value_kb": 2.0, "txn_ops": 4, "since": "noon"},
+			State{RPS: 150, WriteRPS: 60, ValueKB: 2, TxnOps: 4},
+		},
+		{
+			map[string]any{"write_rps": 42.0, "value_kb": 64.0},
+			State{RPS: 150, WriteRPS: 42, ValueKB: 16, TxnOps: 12},
+		},
 	} {
 		s := goodSettings()
-		s["settings"].(map[string]any)["state"] = map[string]any{"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12, "next": c.next}
+		s["settings"].(map[string]any)["state"] = map[string]any{
+			"rps":       150.0,
+			"write_rps": 60.0,
+			"value_kb":  16.0,
+			"txn_ops":   12,
+			"next":      c.next,
+		}
 		parsed, err := Parse(encode(t, s))
 		if err != nil {
 			t.Errorf("%v: %v", c.next, err)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -144,7 +144,10 @@
 		name        string
 		value, most float64
 	}{
-		{"rps", s.Next.RPS, 1e9}, {"write_rps", s.Next.WriteRPS, 1e9}, {"value_kb", s.Next.ValueKB, 1e6}, {"txn_ops", float64(s.Next.TxnOps), 1e6},
+		{"rps", s.Next.RPS, 1e9},
+		{"write_rps", s.Next.WriteRPS, 1e9},
+		{"value_kb", s.Next.ValueKB, 1e6},
+		{"txn_ops", float64(s.Next.TxnOps), 1e6},
 	} {
 		if v.value < 0 || v.value > v.most {
 			return fmt.Errorf("%s.%s: %v is out of range", field, v.name, v.value)
--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -51,7 +51,14 @@
 	controller := testController(term)
 	send := func(machine string, seq uint64) <-chan int {
 		status := make(chan int, 1)
-		body := encodeReport(&protocol.Report{Machine: machine, Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}, nil)
+		body := encodeReport(&protocol.Report{
+			Machine: machine,
+			Type:    "m",
+			Zone:    "a",
+			Session: 1,
+			Seq:     seq,
+			Term:    1,
+		}, nil)
 		go func() {
 			status <- controller.report(t.Context(), transport.Request{Body: body}).Status
 		}()
--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -82,7 +82,11 @@
 func (t *Term) announce(ctx context.Context, caller *transport.Caller, id, endpoint string, limit units.Micros) {
 	session := uint64(1) // of most machines; else the answer tells
 	for range 2 {
-		body := protocol.Encode(protocol.DirectCommands{Term: t.number, Session: session, Commands: []protocol.Command{}})
+		body := protocol.Encode(protocol.DirectCommands{
+			Term:     t.number,
+			Session:  session,
+			Commands: []protocol.Command{},
+		})
 		status, raw, err := caller.Post(ctx, endpoint, protocol.PathCommands, body, limit)
 		if err != nil {
 			t.Log.Debug("machine not told of the term", "machine", id, "error", err)
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -19,7 +19,16 @@
 func busyTerm(machines int) (*Term, []*protocol.Report) {
 	clock := &manualClock{now: units.Second}
 	term := testTerm(1, clock)
-	types := []protocol.MachineType{{Name: "m", CPUs: 32, MemoryGB: 64, CacheGB: 50, Price: 1, SpotPrice: 1, BootS: 5, Zones: []string{"a"}}}
+	types := []protocol.MachineType{{
+		Name:      "m",
+		CPUs:      32,
+		MemoryGB:  64,
+		CacheGB:   50,
+		Price:     1,
+		SpotPrice: 1,
+		BootS:     5,
+		Zones:     []string{"a"},
+	}}
 	term.install(nil, protocol.Catalog{Types: types})
 	term.ledger.Teams["team"].Limit = cpus(32 * machines * 2)
 	const jobs = 300
@@ -38,11 +47,23 @@
 	reports := make([]*protocol.Report, machines)
 	for seq := uint64(1); seq <= 2; seq++ {
 		for i := range reports {
-			r := &protocol.Report{Machine: fmt.Sprintf("i-%06d", i), Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}
+			r := &protocol.Report{
+				Machine: fmt.Sprintf("i-%06d", i),
+				Type:    "m",
+				Zone:    "a",
+				Session: 1,
+				Seq:     seq,
+				Term:    1,
+			}
 			m := term.observe(r, clock.now)
 			for _, a := range m.Sorted() {
 				a.Stage = bookkeeping.Running
-				r.Tasks = append(r.Tasks, protocol.TaskReport{Job: a.Job.Spec.ID, Index: a.Index, Attempt: a.Number, Stage: protocol.TaskRunning})
+				r.Tasks = append(r.Tasks, protocol.TaskReport{
+					Job:     a.Job.Spec.ID,
+					Index:   a.Index,
+					Attempt: a.Number,
+					Stage:   protocol.TaskRunning,
+				})
 			}
 			reports[i] = r
 		}
@@ -80,7 +101,12 @@
 func testController(term *Term) *Controller {
 	s := modelSettings()
 	s.Services.State, s.Services.Cloud = "127.0.0.1:1", "127.0.0.1:1"
-	c := NewController(s, Environment{Policy: term.Policy, Clock: term.Clock, Random: rand.New(rand.NewPCG(1, 1)), Log: term.Log})
+	c := NewController(s, Environment{
+		Policy: term.Policy,
+		Clock:  term.Clock,
+		Random: rand.New(rand.NewPCG(1, 1)),
+		Log:    term.Log,
+	})
 	c.deps.Lease = term.Lease
 	c.term.Store(term)
 	return c
@@ -118,15 +144,29 @@
 func listOf(r *protocol.Report) protocol.Raw {
 	bolts := make([]map[string]any, len(r.Tasks))
 	for i, k := range r.Tasks {
-		bolts[i] = map[string]any{"bolt": protocol.TaskName(k.Job, k.Index), "try": k.Attempt, "stage": "running"}
+		bolts[i] = map[string]any{
+			"bolt":  protocol.TaskName(k.Job, k.Index),
+			"try":   k.Attempt,
+			"stage": "running",
+		}
 	}
 	return protocol.Encode(bolts)
 }
 
 // encodeReport is a report as a worker sends it.
 func encodeReport(r *protocol.Report, bolts protocol.Raw) []byte {
-	return protocol.Encode(map[string]any{"dune": r.Machine, "endpoint": "10.1.0.1:9000", "loom": r.Type, "yard": r.Zone, "borrowed": r.Spot,
-		"shift": r.Session, "tally": r.Seq, "baton": r.Term, "recall_s": nil, "bolts": bolts})
+	return protocol.Encode(map[string]any{
+		"dune":     r.Machine,
+		"endpoint": "10.1.0.1:9000",
+		"loom":     r.Type,
+		"yard":     r.Zone,
+		"borrowed": r.Spot,
+		"shift":    r.Session,
+		"tally":    r.Seq,
+		"baton":    r.Term,
+		"recall_s": nil,
+		"bolts":    bolts,
+	})
 }
 
 // The end of a task is reported and the next one is placed in its stead.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -59,8 +59,18 @@
 	metrics := NewMetrics()
 	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), env.Random, log)
 	c := &Controller{
-		deps: Deps{Settings: s, Policy: env.Policy, Store: store, Dial: env.Dial, Cloud: bookkeeping.NewCloud(env.Dial, s.Services.Cloud, s.Fleet.Cloud),
-			Lease: lease, Clock: clock, Log: log, Metrics: metrics, Format: format},
+		deps: Deps{
+			Settings: s,
+			Policy:   env.Policy,
+			Store:    store,
+			Dial:     env.Dial,
+			Cloud:    bookkeeping.NewCloud(env.Dial, s.Services.Cloud, s.Fleet.Cloud),
+			Lease:    lease,
+			Clock:    clock,
+			Log:      log,
+			Metrics:  metrics,
+			Format:   format,
+		},
 		reader:  protocol.NewReportReader(),
 		reports: newAdmission(),
 		peers:   NewPeers(env.Dial, s.Others, clock, env.Random, log),
@@ -166,7 +176,11 @@
 	})
 	s.Handle(http.MethodPost, protocol.PathReport, c.report)
 	s.Handle(http.MethodGet, "/metrics", func(context.Context, transport.Request) transport.Response {
-		return transport.Response{Status: http.StatusOK, ContentType: "text/plain; version=0.0.4", Body: c.deps.Metrics.Text(c.leading())}
+		return transport.Response{
+			Status:      http.StatusOK,
+			ContentType: "text/plain; version=0.0.4",
+			Body:        c.deps.Metrics.Text(c.leading()),
+		}
 	})
 }
 
@@ -320,7 +334,10 @@
 	c.lastWorker.Store(int64(c.deps.Clock.Steady()))
 	t := c.leading()
 	if t == nil {
-		return transport.Response{Status: http.StatusMisdirectedRequest, Body: protocol.Encode(protocol.Redirect{Leader: c.whoLeads()})}
+		return transport.Response{
+			Status: http.StatusMisdirectedRequest,
+			Body:   protocol.Encode(protocol.Redirect{Leader: c.whoLeads()}),
+		}
 	}
 	answer, ok := t.Report(ctx, report, admitted)
 	if !ok || !c.deps.Lease.Valid(t.number) {
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -45,7 +45,12 @@
 	}
 	s.Others = []config.Peer{{Node: "leader", Endpoint: addr}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	c := NewController(s, Environment{Policy: config.DefaultPolicy(), Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Log: log})
+	c := NewController(s, Environment{
+		Policy: config.DefaultPolicy(),
+		Clock:  clock,
+		Random: rand.New(rand.NewPCG(1, 1)),
+		Log:    log,
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go c.peers.Run(ctx)
@@ -115,9 +120,25 @@
 
 // submission is the body of a user's request.
 func submission(spec *protocol.JobSpec, crew string) []byte {
-	return protocol.Encode(map[string]any{"uid": spec.ID, "queue": spec.Class, "crew": crew, "shape": "sweep", "urgency": "normal",
-		"bolts": spec.Tasks, "vcpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "borrowed": true, "pattern": "i", "image_gb": 1.0,
-		"expect_s": 5.0, "mark_s": 0.0, "stow_s": 0.0, "together": false, "apart": false})
+	return protocol.Encode(map[string]any{
+		"uid":       spec.ID,
+		"queue":     spec.Class,
+		"crew":      crew,
+		"shape":     "sweep",
+		"urgency":   "normal",
+		"bolts":     spec.Tasks,
+		"vcpus":     1.0,
+		"cards":     0.0,
+		"memory_gb": 1.0,
+		"borrowed":  true,
+		"pattern":   "i",
+		"image_gb":  1.0,
+		"expect_s":  5.0,
+		"mark_s":    0.0,
+		"stow_s":    0.0,
+		"together":  false,
+		"apart":     false,
+	})
 }
 
 // A node that reaches no leader takes a job by itself. From then on nobody says
@@ -126,7 +147,11 @@
 func TestJobsAreAcceptedWithoutALeader(t *testing.T) {
 	s := standin.NewState()
 	s.Put(bookkeeping.KeyCatalog, protocol.Encode(modelCatalog))
-	s.Put(bookkeeping.KeyFinal("j-000009"), protocol.Encode(bookkeeping.Final{Stage: protocol.StageDone, Tasks: 2, Done: 2}))
+	s.Put(bookkeeping.KeyFinal("j-000009"), protocol.Encode(bookkeeping.Final{
+		Stage: protocol.StageDone,
+		Tasks: 2,
+		Done:  2,
+	}))
 	c, _ := refusedController(t, s)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -192,7 +217,11 @@
 	for _, c := range bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: *spec}).Then {
 		s.Put(c.Set, c.Value)
 	}
-	s.Put(bookkeeping.KeyFinal(spec.ID), protocol.Encode(bookkeeping.Final{Stage: protocol.StageDone, Tasks: 2, Done: 2}))
+	s.Put(bookkeeping.KeyFinal(spec.ID), protocol.Encode(bookkeeping.Final{
+		Stage: protocol.StageDone,
+		Tasks: 2,
+		Done:  2,
+	}))
 	term := storedTerm(t, 1, s)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -226,7 +255,10 @@
 	go func() {
 		_ = transport.ServeMesh(t.Context(), mesh, log, func(ctx context.Context, frame []byte) ([]byte, error) {
 			return answerFrame(ctx, frame, "next", func(context.Context, protocol.Frame) transport.Response {
-				return stateAnswer(http.StatusOK, protocol.JobState{UID: "j-000001", Stage: protocol.StagePending})
+				return stateAnswer(http.StatusOK, protocol.JobState{
+					UID:   "j-000001",
+					Stage: protocol.StagePending,
+				})
 			})
 		})
 	}()
@@ -234,7 +266,12 @@
 	s := modelSettings()
 	s.Services.State = "127.0.0.1:1"
 	s.Others = []config.Peer{{Node: "next", Endpoint: mesh.Addr().String()}}
-	c := NewController(s, Environment{Policy: config.DefaultPolicy(), Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Log: log})
+	c := NewController(s, Environment{
+		Policy: config.DefaultPolicy(),
+		Clock:  clock,
+		Random: rand.New(rand.NewPCG(1, 1)),
+		Log:    log,
+	})
 	l := c.deps.Lease
 	l.answeredAt = clock.now
 	l.monitor.observe(bookkeeping.Lease{Holder: s.Node, Incarnation: 3}, 1, clock.now)
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -103,10 +103,18 @@
 	}
 	if starts != nil && starts.Spec.Tasks < protocol.MaxTasks {
 		t.attempts++
-		out = append(out, protocol.Command{Verb: protocol.Start, Task: protocol.TaskName(starts.Spec.ID, starts.Spec.Tasks), Attempt: t.number<<32 | t.attempts})
+		out = append(out, protocol.Command{
+			Verb:    protocol.Start,
+			Task:    protocol.TaskName(starts.Spec.ID, starts.Spec.Tasks),
+			Attempt: t.number<<32 | t.attempts,
+		})
 	}
 	if len(out) == 0 {
 		return "", nil
 	}
-	return m.Endpoint, protocol.Encode(protocol.DirectCommands{Term: t.number, Session: m.Session, Commands: out})
+	return m.Endpoint, protocol.Encode(protocol.DirectCommands{
+		Term:     t.number,
+		Session:  m.Session,
+		Commands: out,
+	})
 }
--- a/internal/coordination/format.go
+++ b/internal/coordination/format.go
@@ -134,8 +134,11 @@
 
 func (f *FleetFormat) write(ctx context.Context, key string, format int, on uint64) error {
 	_, err := f.store.Commit(ctx, protocol.Txn{
-		If:   []protocol.Condition{{Key: key, Version: on}},
-		Then: []protocol.Change{{Set: key, Value: protocol.Encode(bookkeeping.FormatRecord{Format: format, By: f.node})}},
+		If: []protocol.Condition{{Key: key, Version: on}},
+		Then: []protocol.Change{{
+			Set:   key,
+			Value: protocol.Encode(bookkeeping.FormatRecord{Format: format, By: f.node}),
+		}},
 	}, true, stateCall)
 	var conflict *bookkeeping.ConflictError
 	if errors.As(err, &conflict) {
--- a/internal/coordination/format_test.go
+++ b/internal/coordination/format_test.go
@@ -23,7 +23,10 @@
 	t.Cleanup(server.Close)
 	out := map[string]*FleetFormat{}
 	for i, node := range nodes {
-		store := bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, len(nodes)-1)
+		store := bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{
+			RPS:      1e4,
+			WriteRPS: 1e4,
+		}, len(nodes)-1)
 		others := append(append([]string{}, nodes[:i]...), nodes[i+1:]...)
 		out[node] = NewFleetFormat(node, others, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	}
@@ -68,7 +71,11 @@
 			s.Put(bookkeeping.KeyFleetFormat, protocol.Encode(bookkeeping.FormatRecord{Format: bookkeeping.Format + 1}))
 		},
 		"a job's record": func(s *standin.State) {
-			s.Put(bookkeeping.KeyJob("j-000001"), protocol.Encode(map[string]any{"v": bookkeeping.Format + 1, "id": "j-000001", "tasks": 1}))
+			s.Put(bookkeeping.KeyJob("j-000001"), protocol.Encode(map[string]any{
+				"v":     bookkeeping.Format + 1,
+				"id":    "j-000001",
+				"tasks": 1,
+			}))
 		},
 		"a part of a job": func(s *standin.State) {
 			s.Put(bookkeeping.KeyJob("j-000001")+"/z0", protocol.Encode(map[string]any{"v": 1}))
@@ -102,8 +109,12 @@
 	service.Shape, service.Tasks = protocol.Service, modelLimit
 	for _, c := range []struct {
 		level, tasks, want int
-	}{{bookkeeping.FormatOld, modelLimit, http.StatusServiceUnavailable}, {bookkeeping.FormatOld, modelLimit + 1, http.StatusUnprocessableEntity},
-		{bookkeeping.FormatNew, modelLimit, 0}, {bookkeeping.FormatNew, modelLimit + 1, http.StatusUnprocessableEntity}} {
+	}{
+		{bookkeeping.FormatOld, modelLimit, http.StatusServiceUnavailable},
+		{bookkeeping.FormatOld, modelLimit + 1, http.StatusUnprocessableEntity},
+		{bookkeeping.FormatNew, modelLimit, 0},
+		{bookkeeping.FormatNew, modelLimit + 1, http.StatusUnprocessableEntity},
+	} {
 		term.Format.level.Store(int64(c.level))
 		service.Tasks = c.tasks
 		if got, why := term.checkAdmissible(&service); got != c.want {
@@ -119,7 +130,13 @@
 	s := standin.NewState()
 	s.Limit(16<<10, 12, 1000)
 	term := storedTerm(t, 1, s)
-	term.Settings.Fleet.State = config.State{RPS: 1e4, WriteRPS: 1e4, ValueKB: 16, TxnOps: 12, Next: &config.State{ValueKB: 2, TxnOps: 4, WriteRPS: 600}}
+	term.Settings.Fleet.State = config.State{
+		RPS:      1e4,
+		WriteRPS: 1e4,
+		ValueKB:  16,
+		TxnOps:   12,
+		Next:     &config.State{ValueKB: 2, TxnOps: 4, WriteRPS: 600},
+	}
 	term.ledger = bookkeeping.NewLedger(term.Settings.Fleet.Teams, term.Settings.Fleet.State)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/internal/coordination/guard_test.go
+++ b/internal/coordination/guard_test.go
@@ -53,7 +53,15 @@
 }
 
 func testReport(machine string, session, seq, term uint64) *protocol.Report {
-	return &protocol.Report{Machine: machine, Type: "m", Zone: "a", Spot: true, Session: session, Seq: seq, Term: term}
+	return &protocol.Report{
+		Machine: machine,
+		Type:    "m",
+		Zone:    "a",
+		Spot:    true,
+		Session: session,
+		Seq:     seq,
+		Term:    term,
+	}
 }
 
 // A zone that is cut off falls silent as a whole while the rest of the fleet,
@@ -188,7 +196,13 @@
 				if _, err := fmt.Sscanf(c.Task, "j-000001/%d", &index); err != nil {
 					t.Fatal(err)
 				}
-				last = append(last, protocol.TaskReport{Job: "j-000001", Index: index, Attempt: c.Attempt, Stage: protocol.TaskExited, Cause: protocol.CauseDone})
+				last = append(last, protocol.TaskReport{
+					Job:     "j-000001",
+					Index:   index,
+					Attempt: c.Attempt,
+					Stage:   protocol.TaskExited,
+					Cause:   protocol.CauseDone,
+				})
 			}
 		}
 	}
@@ -268,7 +282,12 @@
 							continue
 						}
 						key := bookkeeping.AttemptKey{Job: a.Job.Spec.ID, Index: a.Index, Number: a.Number}
-						task := protocol.TaskReport{Job: key.Job, Index: key.Index, Attempt: key.Number, Stage: protocol.TaskRunning}
+						task := protocol.TaskReport{
+							Job:     key.Job,
+							Index:   key.Index,
+							Attempt: key.Number,
+							Stage:   protocol.TaskRunning,
+						}
 						if a.Stop || clock.now >= ends[key] {
 							task.Stage, task.Cause = protocol.TaskExited, protocol.CauseDone
 						}
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -77,7 +77,10 @@
 	if c.arrivals.alone.Add(bookkeeping.MemoryOf(spec)) > share {
 		return Refuse(http.StatusTooManyRequests, "too many jobs wait for a leader")
 	}
-	_, err := store.Commit(ctx, bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: *spec, Submitted: c.deps.Clock.Wall()}), false, arrivalCall)
+	_, err := store.Commit(ctx, bookkeeping.ArrivalTxn(bookkeeping.Arrival{
+		Spec:      *spec,
+		Submitted: c.deps.Clock.Wall(),
+	}), false, arrivalCall)
 	var conflict *bookkeeping.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -53,7 +53,12 @@
 // workers' lease bridges too.
 func TimingFor(workerLease units.Micros) LeaseTiming {
 	length := min(max(workerLease.Share(3, 10), 3*units.Second), 5*units.Second)
-	return LeaseTiming{Length: length, Renew: length / 5, Poll: 400 * units.Millisecond, Margin: 300 * units.Millisecond}
+	return LeaseTiming{
+		Length: length,
+		Renew:  length / 5,
+		Poll:   400 * units.Millisecond,
+		Margin: 300 * units.Millisecond,
+	}
 }
 
 // leaseMonitor is a follower's view of the fleet lease record. It never compares
@@ -126,9 +131,18 @@
 
 // NewFleetLease makes the lease of a node.
 func NewFleetLease(node string, store *bookkeeping.Store, clock units.Clock, timing LeaseTiming, random *rand.Rand, log *slog.Logger) *FleetLease {
-	return &FleetLease{node: node, store: store, clock: clock, timing: timing, random: random, log: log,
-		nonce: fmt.Sprintf("%s-%016x", node, random.Uint64()), monitor: leaseMonitor{timing: timing}, answeredAt: clock.Steady(),
-		Connected: func() bool { return true }}
+	return &FleetLease{
+		node:       node,
+		store:      store,
+		clock:      clock,
+		timing:     timing,
+		random:     random,
+		log:        log,
+		nonce:      fmt.Sprintf("%s-%016x", node, random.Uint64()),
+		monitor:    leaseMonitor{timing: timing},
+		answeredAt: clock.Steady(),
+		Connected:  func() bool { return true },
+	}
 }
 
 // Valid tells whether this node surely holds the lease now, for the term.
@@ -307,7 +321,13 @@
 // was sent, since nobody can have seen it earlier.
 func (f *FleetLease) renew(ctx context.Context) units.Micros {
 	f.mu.Lock()
-	rec := bookkeeping.Lease{Holder: f.node, Incarnation: f.term, Save: f.saveID(), Resigned: f.resigning, Handed: f.handedAt}
+	rec := bookkeeping.Lease{
+		Holder:      f.node,
+		Incarnation: f.term,
+		Save:        f.saveID(),
+		Resigned:    f.resigning,
+		Handed:      f.handedAt,
+	}
 	on, sent := f.version, f.clock.Steady()
 	f.mu.Unlock()
 	version, ours, err := f.write(ctx, rec, on)
@@ -405,7 +425,12 @@
 // incarnation by one.
 func (f *FleetLease) claim(ctx context.Context, old bookkeeping.Lease, version uint64) units.Micros {
 	f.mu.Lock()
-	rec := bookkeeping.Lease{Holder: f.node, Incarnation: old.Incarnation + 1, Save: f.saveID(), Handed: old.Handed}
+	rec := bookkeeping.Lease{
+		Holder:      f.node,
+		Incarnation: old.Incarnation + 1,
+		Save:        f.saveID(),
+		Handed:      old.Handed,
+	}
 	sent := f.clock.Steady()
 	f.mu.Unlock()
 	now, ours, err := f.write(ctx, rec, version)
--- a/internal/coordination/lease_test.go
+++ b/internal/coordination/lease_test.go
@@ -37,7 +37,10 @@
 func (c *driftingClock) Wall() units.Micros { return c.Steady() }
 
 func newLeaseNode(name string, server *httptest.Server, clock units.Clock, seed uint64) *FleetLease {
-	store := bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e6, WriteRPS: 1e6}, 0)
+	store := bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{
+		RPS:      1e6,
+		WriteRPS: 1e6,
+	}, 0)
 	return NewFleetLease(name, store, clock, TimingFor(10*units.Second), rand.New(rand.NewPCG(7, seed)), slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -41,14 +41,29 @@
 
 func modelSettings() *config.Settings {
 	return &config.Settings{Node: "n", Fleet: config.Fleet{Zones: []string{"a"},
-		Teams:     []config.Team{{Name: "team", CPUs: 4, CPUsMax: modelLimit}},
-		Workers:   config.Workers{ReportS: 1, LeaseS: modelLease.Seconds(), CancelS: modelCancel.Seconds()},
-		State:     config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}},
+		Teams:   []config.Team{{Name: "team", CPUs: 4, CPUsMax: modelLimit}},
+		Workers: config.Workers{ReportS: 1, LeaseS: modelLease.Seconds(), CancelS: modelCancel.Seconds()},
+		State: config.State{
+			RPS:      100,
+			WriteRPS: 50,
+			ValueKB:  8,
+			TxnOps:   12,
+			Next:     &config.State{ValueKB: 1, TxnOps: 3},
+		},
 		Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 100}}}
 }
 
 var modelCatalog = protocol.Catalog{Types: []protocol.MachineType{
-	{Name: "m", CPUs: modelMachine, MemoryGB: 64, CacheGB: 10, Price: 1, SpotPrice: 1, BootS: 5, Zones: []string{"a"}}}}
+	{
+		Name:      "m",
+		CPUs:      modelMachine,
+		MemoryGB:  64,
+		CacheGB:   10,
+		Price:     1,
+		SpotPrice: 1,
+		BootS:     5,
+		Zones:     []string{"a"},
+	}}}
 
 // testTerm makes a term whose lease holds until it is taken from it.
 func testTerm(number uint64, clock units.Clock) *Term {
@@ -56,7 +71,17 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	lease := NewFleetLease("n", nil, clock, TimingFor(modelLease), rand.New(rand.NewPCG(1, number)), log)
 	lease.holding, lease.term, lease.validUntil = true, number, 1<<60
-	return NewTerm(number, Deps{Settings: settings, Policy: config.DefaultPolicy(), Lease: lease, Clock: clock, Log: log, Metrics: NewMetrics(), Format: NewFleetFormat("n", nil, nil, log), Unreached: func() int { return 0 }, PeerInReach: func() bool { return false }})
+	return NewTerm(number, Deps{
+		Settings:    settings,
+		Policy:      config.DefaultPolicy(),
+		Lease:       lease,
+		Clock:       clock,
+		Log:         log,
+		Metrics:     NewMetrics(),
+		Format:      NewFleetFormat("n", nil, nil, log),
+		Unreached:   func() int { return 0 },
+		PeerInReach: func() bool { return false },
+	})
 }
 
 type modelStore struct {
@@ -288,9 +313,17 @@
 // draw makes a new job.
 func (m *model) draw() protocol.JobSpec {
 	id := fmt.Sprintf("j-%06d", len(m.jobs))
-	spec := protocol.JobSpec{ID: id, Class: "c", Team: "team", Tasks: rapid.IntRange(1, 6).Draw(m.t, "tasks"),
+	spec := protocol.JobSpec{
+		ID:       id,
+		Class:    "c",
+		Team:     "team",
+		Tasks:    rapid.IntRange(1, 6).Draw(m.t, "tasks"),
 		Need:     cpus(rapid.IntRange(1, 3).Draw(m.t, "cpus")),
-		Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(m.t, "priority")), Spot: true, Image: "i", Estimate: 10 * units.Second}
+		Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(m.t, "priority")),
+		Spot:     true,
+		Image:    "i",
+		Estimate: 10 * units.Second,
+	}
 	// One service at most: with two, a larger task might find no machine left.
 	if len(m.services) == 0 && m.leader.Format.Level() >= bookkeeping.FormatNew && rapid.IntRange(0, 2).Draw(m.t, "a service") == 0 {
 		spec.Shape, spec.Tasks, spec.Need, spec.Priority, spec.Estimate = protocol.Service, min(spec.Tasks, 2), cpus(1), protocol.Production, 0
@@ -313,7 +346,10 @@
 	default:
 		return
 	}
-	m.arrivals = append(m.arrivals, bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: spec, Submitted: m.clock.now}))
+	m.arrivals = append(m.arrivals, bookkeeping.ArrivalTxn(bookkeeping.Arrival{
+		Spec:      spec,
+		Submitted: m.clock.now,
+	}))
 	if rapid.Bool().Draw(m.t, "accepted at once") {
 		m.land()
 	}
@@ -362,11 +398,25 @@
 // report makes a worker's report of now.
 func (w *modelWorker) report() *protocol.Report {
 	w.seq++
-	r := &protocol.Report{Machine: w.id, Type: "m", Zone: "a", Spot: true, Session: w.session, Seq: w.seq, Term: w.token}
+	r := &protocol.Report{
+		Machine: w.id,
+		Type:    "m",
+		Zone:    "a",
+		Spot:    true,
+		Session: w.session,
+		Seq:     w.seq,
+		Term:    w.token,
+	}
 	keys := slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index })
 	for _, k := range keys {
 		task := w.tasks[k]
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Job: k.job, Index: k.index, Attempt: task.attempt, Stage: task.stage, Cause: task.cause})
+		r.Tasks = append(r.Tasks, protocol.TaskReport{
+			Job:     k.job,
+			Index:   k.index,
+			Attempt: task.attempt,
+			Stage:   task.stage,
+			Cause:   task.cause,
+		})
 	}
 	return r
 }
@@ -509,7 +559,10 @@
 	if m.save == nil {
 		m.saveNew = m.leader.Format.Level() >= bookkeeping.FormatNew
 		l.UpgradeFormat(m.leader.Format.Level(), m.clock.now)
-		m.save = l.BuildSave(m.leader.saveID(), m.leader.bucketVersions, bookkeeping.SaveLimits{Lazy: units.Second, Tasks: true}, m.clock.now)
+		m.save = l.BuildSave(m.leader.saveID(), m.leader.bucketVersions, bookkeeping.SaveLimits{
+			Lazy:  units.Second,
+			Tasks: true,
+		}, m.clock.now)
 		return
 	}
 	if !m.store.takes(m.save.Txn) {
@@ -640,7 +693,13 @@
 func (m *model) newWorker() *modelWorker {
 	id := fmt.Sprintf("i-%06d", m.store.revision*10+uint64(len(m.workers)))
 	m.store.revision++
-	return &modelWorker{id: id, alive: true, session: 1, leaseFrom: m.clock.now, tasks: map[taskKey]modelTask{}}
+	return &modelWorker{
+		id:        id,
+		alive:     true,
+		session:   1,
+		leaseFrom: m.clock.now,
+		tasks:     map[taskKey]modelTask{},
+	}
 }
 
 func (m *model) check() {
@@ -841,9 +900,20 @@
 
 func TestRandomDaysKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, clock: &manualClock{now: units.Second}, nodes: make([]modelNode, 3), services: map[string]bool{},
-			store:     &modelStore{items: map[string]protocol.Item{}, limits: config.State{ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}}},
-			confirmed: map[string]units.Micros{}, jobs: map[string]int{}, completed: map[taskKey]bool{}, finals: map[string]protocol.Stage{}}
+		m := &model{
+			t:        t,
+			clock:    &manualClock{now: units.Second},
+			nodes:    make([]modelNode, 3),
+			services: map[string]bool{},
+			store: &modelStore{
+				items:  map[string]protocol.Item{},
+				limits: config.State{ValueKB: 8, TxnOps: 12, Next: &config.State{ValueKB: 1, TxnOps: 3}},
+			},
+			confirmed: map[string]units.Micros{},
+			jobs:      map[string]int{},
+			completed: map[taskKey]bool{},
+			finals:    map[string]protocol.Stage{},
+		}
 		// Some days begin with far more machines than the team can use.
 		for range rapid.SampledFrom([]int{2, 2, 2, 2, 16}).Draw(t, "machines") {
 			m.workers = append(m.workers, m.newWorker())
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -167,7 +167,12 @@
 		delete(l.open, id)
 		l.mu.Unlock()
 	}()
-	if err := l.link.Send(protocol.EncodeFrame(protocol.Frame{ID: id, Kind: kind, Job: job, Body: body})); err != nil {
+	if err := l.link.Send(protocol.EncodeFrame(protocol.Frame{
+		ID:   id,
+		Kind: kind,
+		Job:  job,
+		Body: body,
+	})); err != nil {
 		return transport.Response{}, err
 	}
 	wait := forwardWait
--- a/internal/coordination/persistence.go
+++ b/internal/coordination/persistence.go
@@ -44,7 +44,10 @@
 			if t.saving < maxSaving {
 				now := t.Clock.Steady()
 				t.ledger.UpgradeFormat(t.Format.Level(), now)
-				s = t.ledger.BuildSave(t.saveID(), t.bucketVersions, bookkeeping.SaveLimits{Lazy: lazySave, Tasks: t.Store.WritesSpare()}, now)
+				s = t.ledger.BuildSave(t.saveID(), t.bucketVersions, bookkeeping.SaveLimits{
+					Lazy:  lazySave,
+					Tasks: t.Store.WritesSpare(),
+				}, now)
 			}
 			if s != nil {
 				t.saving++
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -21,14 +21,22 @@
 	teams := rapid.IntRange(1, 3).Draw(t, "teams")
 	for range teams {
 		g := rapid.IntRange(0, 20).Draw(t, "guarantee")
-		s.Teams = append(s.Teams, TeamView{Guarantee: cpus(g), Limit: cpus(g + rapid.IntRange(0, 30).Draw(t, "beyond"))})
+		s.Teams = append(s.Teams, TeamView{
+			Guarantee: cpus(g),
+			Limit:     cpus(g + rapid.IntRange(0, 30).Draw(t, "beyond")),
+		})
 	}
 	ref := 0
 	for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
-		m := MachineView{Type: rapid.SampledFrom([]string{"small", "big"}).Draw(t, "type"),
-			Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot"),
-			Accepts: rapid.Bool().Draw(t, "accepts"), Slow: i == 3, Free: cpus(rapid.IntRange(0, 16).Draw(t, "free")),
-			Freeing: cpus(rapid.IntRange(0, 4).Draw(t, "freeing"))}
+		m := MachineView{
+			Type:    rapid.SampledFrom([]string{"small", "big"}).Draw(t, "type"),
+			Zone:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+			Spot:    rapid.Bool().Draw(t, "spot"),
+			Accepts: rapid.Bool().Draw(t, "accepts"),
+			Slow:    i == 3,
+			Free:    cpus(rapid.IntRange(0, 16).Draw(t, "free")),
+			Freeing: cpus(rapid.IntRange(0, 4).Draw(t, "freeing")),
+		}
 		image := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image")
 		m.Images = func(name string) bool { return name == image }
 		var victims []Victim
@@ -36,9 +44,13 @@
 			v := Victim{Ref: ref, Team: rapid.IntRange(0, teams-1).Draw(t, "victim team"),
 				Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "victim priority")),
 				Need:     cpus(rapid.IntRange(1, 4).Draw(t, "victim need"))}
-			v.Job = &JobView{Spec: &protocol.JobSpec{ID: fmt.Sprintf("j-9%05d", ref), Priority: v.Priority}, Team: v.Team,
-				Late: rapid.Bool().Draw(t, "victim late"), Guaranteed: rapid.Bool().Draw(t, "victim guaranteed"),
-				Rank: float64(rapid.IntRange(0, 3).Draw(t, "victim rank"))}
+			v.Job = &JobView{
+				Spec:       &protocol.JobSpec{ID: fmt.Sprintf("j-9%05d", ref), Priority: v.Priority},
+				Team:       v.Team,
+				Late:       rapid.Bool().Draw(t, "victim late"),
+				Guaranteed: rapid.Bool().Draw(t, "victim guaranteed"),
+				Rank:       float64(rapid.IntRange(0, 3).Draw(t, "victim rank")),
+			}
 			ref++
 			s.Teams[v.Team].Used = s.Teams[v.Team].Used.Plus(v.Need, 1)
 			victims = append(victims, v)
@@ -48,13 +60,27 @@
 	}
 	for i := range rapid.IntRange(0, 6).Draw(t, "jobs") {
 		n := rapid.IntRange(1, 12).Draw(t, "tasks")
-		spec := &protocol.JobSpec{ID: fmt.Sprintf("j-%06d", i), Tasks: n, Need: cpus(rapid.IntRange(1, 5).Draw(t, "need")),
-			Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority")), Spot: rapid.Bool().Draw(t, "may spot"),
-			Image: "x", OneZone: rapid.Bool().Draw(t, "one zone"), Spread: rapid.Bool().Draw(t, "spread"),
-			Types: rapid.SampledFrom([][]string{nil, {"small"}}).Draw(t, "types"), Zone: rapid.SampledFrom([]string{"", "a"}).Draw(t, "in zone")}
-		s.Jobs = append(s.Jobs, JobView{Spec: spec, Team: rapid.IntRange(0, teams-1).Draw(t, "team"),
-			Guaranteed: rapid.Bool().Draw(t, "guaranteed"), Rank: float64(rapid.IntRange(0, 3).Draw(t, "rank")),
-			Pending: n, LiveIn: map[string]int{}, Avoid: func(string) bool { return false }})
+		spec := &protocol.JobSpec{
+			ID:       fmt.Sprintf("j-%06d", i),
+			Tasks:    n,
+			Need:     cpus(rapid.IntRange(1, 5).Draw(t, "need")),
+			Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
+			Spot:     rapid.Bool().Draw(t, "may spot"),
+			Image:    "x",
+			OneZone:  rapid.Bool().Draw(t, "one zone"),
+			Spread:   rapid.Bool().Draw(t, "spread"),
+			Types:    rapid.SampledFrom([][]string{nil, {"small"}}).Draw(t, "types"),
+			Zone:     rapid.SampledFrom([]string{"", "a"}).Draw(t, "in zone"),
+		}
+		s.Jobs = append(s.Jobs, JobView{
+			Spec:       spec,
+			Team:       rapid.IntRange(0, teams-1).Draw(t, "team"),
+			Guaranteed: rapid.Bool().Draw(t, "guaranteed"),
+			Rank:       float64(rapid.IntRange(0, 3).Draw(t, "rank")),
+			Pending:    n,
+			LiveIn:     map[string]int{},
+			Avoid:      func(string) bool { return false },
+		})
 	}
 	return s
 }
@@ -185,10 +211,20 @@
 
 func TestPlanPrefersTheMachineWithTheImage(t *testing.T) {
 	holds := func(yes bool) func(string) bool { return func(string) bool { return yes } }
-	s := Snapshot{Batch: 10, Teams: []TeamView{{Limit: cpus(100)}},
-		Machines: []MachineView{{Accepts: true, Free: cpus(16), Images: holds(false)}, {Accepts: true, Free: cpus(2), Images: holds(true)}},
-		Jobs: []JobView{{Spec: &protocol.JobSpec{ID: "j-1", Tasks: 3, Need: cpus(1)}, Pending: 3, LiveIn: map[string]int{},
-			Avoid: func(string) bool { return false }}}}
+	s := Snapshot{
+		Batch: 10,
+		Teams: []TeamView{{Limit: cpus(100)}},
+		Machines: []MachineView{
+			{Accepts: true, Free: cpus(16), Images: holds(false)},
+			{Accepts: true, Free: cpus(2), Images: holds(true)},
+		},
+		Jobs: []JobView{{
+			Spec:    &protocol.JobSpec{ID: "j-1", Tasks: 3, Need: cpus(1)},
+			Pending: 3,
+			LiveIn:  map[string]int{},
+			Avoid:   func(string) bool { return false },
+		}},
+	}
 	got := Plan(&s).Starts
 	want := []Starts{{Job: 0, Machine: 1, Count: 2}, {Job: 0, Machine: 0, Count: 1}}
 	if !reflect.DeepEqual(got, want) {
@@ -201,10 +237,20 @@
 func TestRoomIsKeptTogetherForOverdueJobs(t *testing.T) {
 	s := Snapshot{Batch: 10, Teams: []TeamView{{Limit: cpus(100)}}}
 	for range 2 {
-		s.Machines = append(s.Machines, MachineView{Accepts: true, Size: cpus(4), Free: cpus(1), Images: func(string) bool { return false }})
+		s.Machines = append(s.Machines, MachineView{
+			Accepts: true,
+			Size:    cpus(4),
+			Free:    cpus(1),
+			Images:  func(string) bool { return false },
+		})
 	}
 	job := func(id string, need int, overdue bool) JobView {
-		return JobView{Spec: &protocol.JobSpec{ID: id, Tasks: 5, Need: cpus(need)}, Pending: 5, Overdue: overdue, Avoid: func(string) bool { return false }}
+		return JobView{
+			Spec:    &protocol.JobSpec{ID: id, Tasks: 5, Need: cpus(need)},
+			Pending: 5,
+			Overdue: overdue,
+			Avoid:   func(string) bool { return false },
+		}
 	}
 	s.Jobs = []JobView{job("j-000001", 1, false), job("j-000002", 2, true)}
 	w := Plan(&s)
@@ -219,12 +265,27 @@
 // An image still goes before a report.
 func TestPlanPrefersTheMachineThatReportsSoonest(t *testing.T) {
 	machine := func(id string, image bool, free, reports int) MachineView {
-		return MachineView{ID: id, Type: "m", Zone: "a", Accepts: true, Size: cpus(32), Free: cpus(free), Reports: reports,
-			Images: func(string) bool { return image }}
+		return MachineView{
+			ID:      id,
+			Type:    "m",
+			Zone:    "a",
+			Accepts: true,
+			Size:    cpus(32),
+			Free:    cpus(free),
+			Reports: reports,
+			Images:  func(string) bool { return image },
+		}
 	}
-	s := Snapshot{Batch: 10, Teams: []TeamView{{Guarantee: cpus(100), Limit: cpus(100)}},
+	s := Snapshot{
+		Batch:    10,
+		Teams:    []TeamView{{Guarantee: cpus(100), Limit: cpus(100)}},
 		Machines: []MachineView{machine("now", false, 32, 0), machine("late", true, 32, 9), machine("soon", true, 4, 1)},
-		Jobs:     []JobView{{Spec: modelSpec("j-000001"), Pending: 2, Avoid: func(string) bool { return false }}}}
+		Jobs: []JobView{{
+			Spec:    modelSpec("j-000001"),
+			Pending: 2,
+			Avoid:   func(string) bool { return false },
+		}},
+	}
 	if w := Plan(&s); len(w.Starts) != 1 || w.Starts[0].Machine != 2 || w.Starts[0].Count != 2 {
 		t.Errorf("starts: %+v", w.Starts)
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -139,7 +139,11 @@
 // reserve takes room that is free or about to be from the machine's views.
 func (p *planner) reserve(m *MachineView, need units.Resources, n int) {
 	total := m.Free.Plus(m.Freeing, 1).Plus(need, -n)
-	m.Freeing = units.Resources{CPU: min(m.Freeing.CPU, total.CPU), GPU: min(m.Freeing.GPU, total.GPU), Memory: min(m.Freeing.Memory, total.Memory)}
+	m.Freeing = units.Resources{
+		CPU:    min(m.Freeing.CPU, total.CPU),
+		GPU:    min(m.Freeing.GPU, total.GPU),
+		Memory: min(m.Freeing.Memory, total.Memory),
+	}
 	m.Free = total.Plus(m.Freeing, -1)
 }
 
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -51,7 +51,11 @@
 		for _, zone := range t.Zones {
 			out = append(out,
 				kindOffer{Kind{name, zone, false}, bookkeeping.SizeOf(t), t.Price},
-				kindOffer{Kind{name, zone, true}, bookkeeping.SizeOf(t), t.SpotPrice * max(v.SpotPreference, 0.01)})
+				kindOffer{
+					Kind{name, zone, true},
+					bookkeeping.SizeOf(t),
+					t.SpotPrice * max(v.SpotPreference, 0.01),
+				})
 		}
 	}
 	return out
--- a/internal/coordination/rent_test.go
+++ b/internal/coordination/rent_test.go
@@ -27,8 +27,11 @@
 			Reserve: units.Amount(rapid.IntRange(0, 100).Draw(t, "reserve")) * 1_000_000,
 			Refused: func(k Kind) bool { return refused[k] }}
 		for range rapid.IntRange(0, 4).Draw(t, "needs") {
-			v.Needs = append(v.Needs, Need{&protocol.JobSpec{Need: cpus(rapid.IntRange(1, 4).Draw(t, "cpus")),
-				Spot: rapid.Bool().Draw(t, "spot"), Zone: rapid.SampledFrom([]string{"", "b"}).Draw(t, "zone")},
+			v.Needs = append(v.Needs, Need{&protocol.JobSpec{
+				Need: cpus(rapid.IntRange(1, 4).Draw(t, "cpus")),
+				Spot: rapid.Bool().Draw(t, "spot"),
+				Zone: rapid.SampledFrom([]string{"", "b"}).Draw(t, "zone"),
+			},
 				rapid.IntRange(1, 30).Draw(t, "count")})
 		}
 		for _, o := range WantRented(&v) {
@@ -65,8 +68,13 @@
 }
 
 func TestWantRentedTakesTheCheapestKind(t *testing.T) {
-	v := FleetView{Types: rentTypes, Have: map[Kind]int{}, SpotPreference: 1, Refused: func(Kind) bool { return false },
-		Needs: []Need{{&protocol.JobSpec{Need: cpus(4), Spot: true}, 8}}}
+	v := FleetView{
+		Types:          rentTypes,
+		Have:           map[Kind]int{},
+		SpotPreference: 1,
+		Refused:        func(Kind) bool { return false },
+		Needs:          []Need{{&protocol.JobSpec{Need: cpus(4), Spot: true}, 8}},
+	}
 	want := []Order{{Kind{"big", "a", true}, 1}}
 	if got := WantRented(&v); !reflect.DeepEqual(got, want) {
 		t.Fatalf("got %+v, want %+v", got, want)
@@ -80,7 +88,10 @@
 	term.provisioning.listAt = clock.now
 	m := term.ledger.Machine("i-000001", "m", "a", true, clock.now)
 	for _, spot := range []bool{false, true} {
-		term.provisioning.refused[Kind{"m", "a", spot}] = refusal{until: clock.now + refusedMost, wait: refusedMost}
+		term.provisioning.refused[Kind{"m", "a", spot}] = refusal{
+			until: clock.now + refusedMost,
+			wait:  refusedMost,
+		}
 	}
 	if orders := term.orders(clock.now); len(orders) != 0 {
 		t.Fatalf("asked for what was refused: %v", orders)
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -42,7 +42,12 @@
 func cancelled(j *bookkeeping.Job, w config.Workers) bool { return j.CancelStored && confirmsAtOnce(w) }
 
 func jobAnswer(status int, j *bookkeeping.Job, w config.Workers) transport.Response {
-	s := protocol.JobState{UID: j.Spec.ID, Stage: protocol.StagePending, Done: j.DoneCount(), Running: j.Running()}
+	s := protocol.JobState{
+		UID:     j.Spec.ID,
+		Stage:   protocol.StagePending,
+		Done:    j.DoneCount(),
+		Running: j.Running(),
+	}
 	switch {
 	case cancelled(j, w):
 		s.Stage = protocol.StageCancelled
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -123,7 +123,10 @@
 	step := t.Settings.Fleet.State.Both().TxnOps
 	for from := 0; from < len(claiming); from += step {
 		to := min(from+step, len(claiming))
-		version, err := t.Store.Commit(ctx, protocol.Txn{If: txn.If[from:to], Then: txn.Then[from:to]}, true, stateCall)
+		version, err := t.Store.Commit(ctx, protocol.Txn{
+			If:   txn.If[from:to],
+			Then: txn.Then[from:to],
+		}, true, stateCall)
 		if err != nil {
 			return err // tried again, with the versions then read
 		}
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -77,7 +77,12 @@
 		f.t.Fatalf("%s starts on %s while it is on %s", c.Task, r.Machine, on)
 	}
 	f.started++
-	r.Tasks = append(r.Tasks, protocol.TaskReport{Job: job, Index: index, Attempt: c.Attempt, Stage: protocol.TaskRunning})
+	r.Tasks = append(r.Tasks, protocol.TaskReport{
+		Job:     job,
+		Index:   index,
+		Attempt: c.Attempt,
+		Stage:   protocol.TaskRunning,
+	})
 }
 
 // where tells on which machine a replica runs.
@@ -259,7 +264,11 @@
 		t.Fatal(err)
 	}
 	fields["shape"] = uint8(protocol.Service)
-	jobs, _, err := bookkeeping.ParseJobs([]protocol.Item{{Key: bookkeeping.KeyJob(spec.ID), Value: protocol.Encode(fields), Version: 2}})
+	jobs, _, err := bookkeeping.ParseJobs([]protocol.Item{{
+		Key:     bookkeeping.KeyJob(spec.ID),
+		Value:   protocol.Encode(fields),
+		Version: 2,
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -317,8 +326,16 @@
 	like.Spot, like.Need = false, cpus(2)
 	var machines []MachineView
 	for i := range 40 {
-		m := MachineView{ID: fmt.Sprintf("i-%06d", i), Type: "m", Zone: []string{"a", "b"}[i%2], Spot: i >= 20, Accepts: true,
-			Size: cpus(8), Free: cpus(1), Images: func(string) bool { return i == 7 }}
+		m := MachineView{
+			ID:      fmt.Sprintf("i-%06d", i),
+			Type:    "m",
+			Zone:    []string{"a", "b"}[i%2],
+			Spot:    i >= 20,
+			Accepts: true,
+			Size:    cpus(8),
+			Free:    cpus(1),
+			Images:  func(string) bool { return i == 7 },
+		}
 		if i == 4 || i == 9 {
 			m.Free = cpus(2)
 		}
@@ -351,8 +368,19 @@
 		overdue bool
 		want    int
 	}{{array, false, 0}, {array, true, 1}, {&service, false, 1}} {
-		s := Snapshot{Teams: []TeamView{{Limit: cpus(100)}}, Machines: []MachineView{machines[4]}, Batch: 10,
-			Jobs: []JobView{{Spec: c.spec, Overdue: c.overdue, Pending: 1, LiveIn: map[string]int{}, LiveOn: map[int]int{}, Avoid: func(string) bool { return false }}}}
+		s := Snapshot{
+			Teams:    []TeamView{{Limit: cpus(100)}},
+			Machines: []MachineView{machines[4]},
+			Batch:    10,
+			Jobs: []JobView{{
+				Spec:    c.spec,
+				Overdue: c.overdue,
+				Pending: 1,
+				LiveIn:  map[string]int{},
+				LiveOn:  map[int]int{},
+				Avoid:   func(string) bool { return false },
+			}},
+		}
 		if got := len(Plan(&s).Starts); got != c.want {
 			t.Errorf("%d starts of a job of shape %d", got, c.spec.Shape)
 		}
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -29,7 +29,12 @@
 	for _, name := range sortedKeys(t.ledger.Teams) {
 		team := t.ledger.Teams[name]
 		teams[name] = len(s.Teams)
-		s.Teams = append(s.Teams, TeamView{Guarantee: team.Guarantee, Limit: team.Limit, Used: team.Used, Freeing: team.Freeing})
+		s.Teams = append(s.Teams, TeamView{
+			Guarantee: team.Guarantee,
+			Limit:     team.Limit,
+			Used:      team.Used,
+			Freeing:   team.Freeing,
+		})
 	}
 	if t.allConfirmed {
 		return teams
@@ -81,10 +86,21 @@
 
 func (t *Term) machineView(m *bookkeeping.Machine, now units.Micros, answering bool) MachineView {
 	next := max(0, m.LastAnswered+t.Settings.Fleet.Workers.Report()-now)
-	return MachineView{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Slow: m.Slow, Accepts: t.accepts(m, now),
+	return MachineView{
+		ID:        m.ID,
+		Type:      m.Type,
+		Zone:      m.Zone,
+		Spot:      m.Spot,
+		Slow:      m.Slow,
+		Accepts:   t.accepts(m, now),
 		FetchRate: units.AmountOf(t.ledger.Types[m.Type].FetchRate),
-		Size:      m.Size, Free: m.Free(), Freeing: m.Freeing, Images: m.HasImage, Answering: answering,
-		Reports: int(next / (units.Second / 2))}
+		Size:      m.Size,
+		Free:      m.Free(),
+		Freeing:   m.Freeing,
+		Images:    m.HasImage,
+		Answering: answering,
+		Reports:   int(next / (units.Second / 2)),
+	}
 }
 
 // spread fills in where a job's tasks are, for jobs that care.
@@ -119,10 +135,18 @@
 		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
 		g := s.Teams[team].Guarantee
 		in := t.rankInput(j)
-		view := &JobView{Spec: &j.Spec, Team: team, Order: int64(j.Submitted), Pending: j.Pending(), Live: len(j.Live),
+		view := &JobView{
+			Spec:       &j.Spec,
+			Team:       team,
+			Order:      int64(j.Submitted),
+			Pending:    j.Pending(),
+			Live:       len(j.Live),
 			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
 			Patient:    t.patient(j, now),
-			Late:       in.Late, Rank: t.Policy.Rank(in), Overdue: t.overdue(j) && len(j.Live) == 0}
+			Late:       in.Late,
+			Rank:       t.Policy.Rank(in),
+			Overdue:    t.overdue(j) && len(j.Live) == 0,
+		}
 		view.Avoid = func(m string) bool { return j.ErrorsOn[m] && len(j.ErrorsOn) < 3 || !j.CanName(m) }
 		views[j] = view
 		if j.Cancelled || !j.Accepted() {
@@ -176,7 +200,13 @@
 		if t.overdue(a.Job) && len(a.Job.Live) == 1 {
 			continue // all that its job has, after a long wait
 		}
-		v := Victim{Ref: len(refs.victims), Team: team, Priority: a.Job.Spec.Priority, Need: a.Job.Spec.Need, Job: views[a.Job]}
+		v := Victim{
+			Ref:      len(refs.victims),
+			Team:     team,
+			Priority: a.Job.Spec.Priority,
+			Need:     a.Job.Spec.Need,
+			Job:      views[a.Job],
+		}
 		if a.Stage == bookkeeping.Running {
 			v.Loses = now - a.RunningSince
 		}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -73,11 +73,25 @@
 // restore the records.
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
-	return &Term{Deps: deps, number: number, traces: deps.Log.Enabled(context.Background(), slog.LevelDebug), claimedAt: deps.Clock.Steady(), lastWork: deps.Clock.Steady(),
-		ledger: bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State), bucketVersions: make([]uint64, bookkeeping.Buckets),
-		restored: make(chan struct{}), finals: newFinalCache(4096), releasedMachines: map[string]units.Micros{}, directRequests: map[string]*directRequest{}, headroom: map[*bookkeeping.Machine]units.Resources{},
-		provisioning: newProvisioningState(), reservedFor: map[*bookkeeping.Machine]*bookkeeping.Job{},
-		saveSignal: make(chan struct{}, 1), roundSignal: make(chan struct{}, 1), directSignal: make(chan struct{}, 1)}
+	return &Term{
+		Deps:             deps,
+		number:           number,
+		traces:           deps.Log.Enabled(context.Background(), slog.LevelDebug),
+		claimedAt:        deps.Clock.Steady(),
+		lastWork:         deps.Clock.Steady(),
+		ledger:           bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State),
+		bucketVersions:   make([]uint64, bookkeeping.Buckets),
+		restored:         make(chan struct{}),
+		finals:           newFinalCache(4096),
+		releasedMachines: map[string]units.Micros{},
+		directRequests:   map[string]*directRequest{},
+		headroom:         map[*bookkeeping.Machine]units.Resources{},
+		provisioning:     newProvisioningState(),
+		reservedFor:      map[*bookkeeping.Machine]*bookkeeping.Job{},
+		saveSignal:       make(chan struct{}, 1),
+		roundSignal:      make(chan struct{}, 1),
+		directSignal:     make(chan struct{}, 1),
+	}
 }
 
 func signal(c chan struct{}) {
--- a/internal/coordination/term_test.go
+++ b/internal/coordination/term_test.go
@@ -21,13 +21,24 @@
 	server := httptest.NewServer(state)
 	t.Cleanup(server.Close)
 	term := testTerm(number, &manualClock{now: units.Second})
-	term.Store = bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{RPS: 1e4, WriteRPS: 1e4}, 0)
+	term.Store = bookkeeping.NewStore(nil, strings.TrimPrefix(server.URL, "http://"), config.State{
+		RPS:      1e4,
+		WriteRPS: 1e4,
+	}, 0)
 	term.Format.store = term.Store
 	return term
 }
 
 func modelSpec(id string) *protocol.JobSpec {
-	return &protocol.JobSpec{ID: id, Class: "c", Team: "team", Tasks: 2, Need: cpus(1), Spot: true, Image: "i"}
+	return &protocol.JobSpec{
+		ID:    id,
+		Class: "c",
+		Team:  "team",
+		Tasks: 2,
+		Need:  cpus(1),
+		Spot:  true,
+		Image: "i",
+	}
 }
 
 func state(t *testing.T, r transport.Response) protocol.JobState {
@@ -85,7 +96,11 @@
 // polls and for repeated submissions whatever their body now says.
 func TestFinishedJobsAreFoundByLaterLeaders(t *testing.T) {
 	s := standin.NewState()
-	s.Put(bookkeeping.KeyFinal("j-000007"), protocol.Encode(bookkeeping.Final{Stage: protocol.StageDone, Tasks: 2, Done: 2}))
+	s.Put(bookkeeping.KeyFinal("j-000007"), protocol.Encode(bookkeeping.Final{
+		Stage: protocol.StageDone,
+		Tasks: 2,
+		Done:  2,
+	}))
 	term := storedTerm(t, 3, s)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -146,7 +161,13 @@
 			t.Errorf("%s: %d", name, r.Status)
 		}
 	}
-	if _, ok := term.Report(t.Context(), &protocol.Report{Machine: "i-1", Type: "m", Zone: "a", Session: 1, Seq: 1}, nil); ok {
+	if _, ok := term.Report(t.Context(), &protocol.Report{
+		Machine: "i-1",
+		Type:    "m",
+		Zone:    "a",
+		Session: 1,
+		Seq:     1,
+	}, nil); ok {
 		t.Error("a report was accepted")
 	}
 }
@@ -168,7 +189,14 @@
 	if m := term.ledger.Machines["i-1"]; m.Session != 2 || m.Seq != 7 {
 		t.Errorf("machine at %d/%d", m.Session, m.Seq)
 	}
-	if _, ok := term.Report(t.Context(), &protocol.Report{Machine: "i-2", Type: "m", Zone: "a", Session: 1, Seq: 1, Term: 6}, nil); ok {
+	if _, ok := term.Report(t.Context(), &protocol.Report{
+		Machine: "i-2",
+		Type:    "m",
+		Zone:    "a",
+		Session: 1,
+		Seq:     1,
+		Term:    6,
+	}, nil); ok {
 		t.Error("a worker that has seen a later term was answered")
 	}
 }
@@ -219,7 +247,14 @@
 	term.install(nil, modelCatalog)
 	report := func(machines int, seq uint64) {
 		for i := range machines {
-			r := &protocol.Report{Machine: fmt.Sprintf("i-%06d", i), Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 1}
+			r := &protocol.Report{
+				Machine: fmt.Sprintf("i-%06d", i),
+				Type:    "m",
+				Zone:    "a",
+				Session: 1,
+				Seq:     seq,
+				Term:    1,
+			}
 			if _, ok := term.Report(t.Context(), r, nil); !ok {
 				t.Fatal("report refused")
 			}
@@ -269,7 +304,15 @@
 		{Job: "j-000001", Attempt: 7, Stage: protocol.TaskRunning},
 		{Job: "j-000001", Attempt: 7, Stage: protocol.TaskExited, Cause: protocol.CauseDone},
 	} {
-		r := &protocol.Report{Machine: m.ID, Type: "m", Zone: "a", Session: 1, Seq: uint64(seq + 1), Term: 2, Tasks: []protocol.TaskReport{task}}
+		r := &protocol.Report{
+			Machine: m.ID,
+			Type:    "m",
+			Zone:    "a",
+			Session: 1,
+			Seq:     uint64(seq + 1),
+			Term:    2,
+			Tasks:   []protocol.TaskReport{task},
+		}
 		if _, ok := term.Report(t.Context(), r, nil); !ok {
 			t.Fatal("report refused")
 		}
@@ -298,8 +341,22 @@
 	seq := uint64(0)
 	forgotten := func() bool {
 		seq++
-		r := &protocol.Report{Machine: m.ID, Type: "m", Zone: "a", Session: 1, Seq: seq, Term: 2, Tasks: []protocol.TaskReport{
-			{Job: "j-000001", Index: a.Index, Attempt: 7, Stage: protocol.TaskExited, Cause: protocol.CauseDone}}}
+		r := &protocol.Report{
+			Machine: m.ID,
+			Type:    "m",
+			Zone:    "a",
+			Session: 1,
+			Seq:     seq,
+			Term:    2,
+			Tasks: []protocol.TaskReport{
+				{
+					Job:     "j-000001",
+					Index:   a.Index,
+					Attempt: 7,
+					Stage:   protocol.TaskExited,
+					Cause:   protocol.CauseDone,
+				}},
+		}
 		answer, ok := term.Report(t.Context(), r, nil)
 		if !ok {
 			t.Fatal("report refused")
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -15,10 +15,28 @@
 )
 
 func goodSubmission() map[string]any {
-	return map[string]any{"uid": "j-000412", "queue": "train", "crew": "vision", "shape": "sweep", "urgency": "high", "bolts": 16,
-		"vcpus": 8.0, "cards": 1.0, "memory_gb": 64.0, "pattern": "img-07", "image_gb": 6.2,
-		"looms": []string{"g8"}, "yard": nil, "together": true, "apart": false, "borrowed": true,
-		"expect_s": 240.0, "mark_s": 30.0, "stow_s": 4.0, "due_s": 900.0}
+	return map[string]any{
+		"uid":       "j-000412",
+		"queue":     "train",
+		"crew":      "vision",
+		"shape":     "sweep",
+		"urgency":   "high",
+		"bolts":     16,
+		"vcpus":     8.0,
+		"cards":     1.0,
+		"memory_gb": 64.0,
+		"pattern":   "img-07",
+		"image_gb":  6.2,
+		"looms":     []string{"g8"},
+		"yard":      nil,
+		"together":  true,
+		"apart":     false,
+		"borrowed":  true,
+		"expect_s":  240.0,
+		"mark_s":    30.0,
+		"stow_s":    4.0,
+		"due_s":     900.0,
+	}
 }
 
 func TestSubmissionFields(t *testing.T) {
@@ -61,9 +79,25 @@
 		field string
 		value any
 	}{
-		{"uid", "job-1"}, {"uid", "j-"}, {"uid", 7}, {"shape", "ring"}, {"urgency", "soon"}, {"bolts", 0}, {"bolts", 100_001}, {"bolts", 2.5},
-		{"vcpus", -1.0}, {"vcpus", math.NaN()}, {"vcpus", math.Inf(1)}, {"memory_gb", "64"}, {"looms", []string{}}, {"looms", []int{1}},
-		{"yard", ""}, {"together", 1}, {"due_s", -5.0}, {"due_s", "soon"}, {"pattern", strings.Repeat("x", 200)},
+		{"uid", "job-1"},
+		{"uid", "j-"},
+		{"uid", 7},
+		{"shape", "ring"},
+		{"urgency", "soon"},
+		{"bolts", 0},
+		{"bolts", 100_001},
+		{"bolts", 2.5},
+		{"vcpus", -1.0},
+		{"vcpus", math.NaN()},
+		{"vcpus", math.Inf(1)},
+		{"memory_gb", "64"},
+		{"looms", []string{}},
+		{"looms", []int{1}},
+		{"yard", ""},
+		{"together", 1},
+		{"due_s", -5.0},
+		{"due_s", "soon"},
+		{"pattern", strings.Repeat("x", 200)},
 	} {
 		s := goodSubmission()
 		s[c.field] = c.value
@@ -74,9 +108,13 @@
 		}
 	}
 	for name, body := range map[string][]byte{
-		"empty": nil, "JSON": []byte(`{"uid":"j-1"}`), "list": Encode([]int{1}), "cut off": Encode(goodSubmission())[:40],
-		"deep":     append([]byte{0xa1, 0x61, 'x'}, bytes.Repeat([]byte{0x81}, 60000)...),
-		"huge map": {0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, "huge text": {0xa1, 0x7b, 0, 0, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"empty":     nil,
+		"JSON":      []byte(`{"uid":"j-1"}`),
+		"list":      Encode([]int{1}),
+		"cut off":   Encode(goodSubmission())[:40],
+		"deep":      append([]byte{0xa1, 0x61, 'x'}, bytes.Repeat([]byte{0x81}, 60000)...),
+		"huge map":  {0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"huge text": {0xa1, 0x7b, 0, 0, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff},
 	} {
 		if _, err := ParseSubmission(body); err == nil {
 			t.Errorf("%s is taken", name)
@@ -85,19 +123,37 @@
 }
 
 func TestReports(t *testing.T) {
-	good := map[string]any{"dune": "i-000231", "endpoint": "10.1.0.232:9000", "loom": "g8", "yard": "a", "borrowed": true,
-		"shift": 1, "tally": 88, "baton": 41, "recall_s": 3.5,
+	good := map[string]any{
+		"dune":     "i-000231",
+		"endpoint": "10.1.0.232:9000",
+		"loom":     "g8",
+		"yard":     "a",
+		"borrowed": true,
+		"shift":    1,
+		"tally":    88,
+		"baton":    41,
+		"recall_s": 3.5,
 		"bolts": []any{map[string]any{"bolt": "j-000412/3", "try": uint64(1) << 40, "stage": "running"},
-			map[string]any{"bolt": "j-000398/0", "try": 1, "stage": "ended", "cause": "done"}}}
+			map[string]any{"bolt": "j-000398/0", "try": 1, "stage": "ended", "cause": "done"}},
+	}
 	r, err := ParseReport(Encode(good))
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []TaskReport{{Job: "j-000412", Index: 3, Attempt: 1 << 40, Stage: TaskRunning}, {Job: "j-000398", Attempt: 1, Stage: TaskExited, Cause: CauseDone}}
+	want := []TaskReport{
+		{Job: "j-000412", Index: 3, Attempt: 1 << 40, Stage: TaskRunning},
+		{Job: "j-000398", Attempt: 1, Stage: TaskExited, Cause: CauseDone},
+	}
 	if !reflect.DeepEqual(r.Tasks, want) || !r.Noticed || r.Notice != 3_500_000 || r.Term != 41 {
 		t.Fatalf("%+v", r)
 	}
-	for field, value := range map[string]any{"dune": nil, "shift": nil, "tally": -1, "baton": "x", "bolts": "x"} {
+	for field, value := range map[string]any{
+		"dune":  nil,
+		"shift": nil,
+		"tally": -1,
+		"baton": "x",
+		"bolts": "x",
+	} {
 		bad := map[string]any{}
 		for k, v := range good {
 			bad[k] = v
@@ -121,9 +177,14 @@
 
 func TestFramesAreReadAsWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := Frame{ID: rapid.Uint64().Draw(t, "id"), Kind: rapid.SampledFrom([]FrameKind{FramePing, FrameSubmit, FramePoll, FrameCancel, FrameAnswer}).Draw(t, "kind"),
-			Job: rapid.String().Draw(t, "job"), Body: rapid.SliceOf(rapid.Byte()).Draw(t, "body"),
-			Status: int(rapid.Uint16().Draw(t, "status")), RetryAfter: int(rapid.Uint16().Draw(t, "retry"))}
+		f := Frame{
+			ID:         rapid.Uint64().Draw(t, "id"),
+			Kind:       rapid.SampledFrom([]FrameKind{FramePing, FrameSubmit, FramePoll, FrameCancel, FrameAnswer}).Draw(t, "kind"),
+			Job:        rapid.String().Draw(t, "job"),
+			Body:       rapid.SliceOf(rapid.Byte()).Draw(t, "body"),
+			Status:     int(rapid.Uint16().Draw(t, "status")),
+			RetryAfter: int(rapid.Uint16().Draw(t, "retry")),
+		}
 		got, err := DecodeFrame(EncodeFrame(f))
 		if err != nil {
 			t.Fatal(err)
@@ -165,7 +226,14 @@
 }
 
 func FuzzReports(f *testing.F) {
-	f.Add(Encode(map[string]any{"dune": "i-1", "loom": "m", "yard": "a", "shift": 1, "tally": 1, "bolts": []any{}}))
+	f.Add(Encode(map[string]any{
+		"dune":  "i-1",
+		"loom":  "m",
+		"yard":  "a",
+		"shift": 1,
+		"tally": 1,
+		"bolts": []any{},
+	}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if r, err := ParseReport(data); err == nil {
 			for _, task := range r.Tasks {
@@ -190,10 +258,24 @@
 func BenchmarkParseReport(b *testing.B) {
 	bolts := make([]any, 16)
 	for i := range bolts {
-		bolts[i] = map[string]any{"bolt": TaskName("j-000412", i), "try": uint64(1)<<32 + uint64(i), "stage": "running"}
+		bolts[i] = map[string]any{
+			"bolt":  TaskName("j-000412", i),
+			"try":   uint64(1)<<32 + uint64(i),
+			"stage": "running",
+		}
 	}
-	body := Encode(map[string]any{"dune": "i-000231", "endpoint": "10.1.0.232:9000", "loom": "g8", "yard": "a", "borrowed": true,
-		"shift": 1, "tally": 88, "baton": 41, "recall_s": nil, "bolts": bolts})
+	body := Encode(map[string]any{
+		"dune":     "i-000231",
+		"endpoint": "10.1.0.232:9000",
+		"loom":     "g8",
+		"yard":     "a",
+		"borrowed": true,
+		"shift":    1,
+		"tally":    88,
+		"baton":    41,
+		"recall_s": nil,
+		"bolts":    bolts,
+	})
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := ParseReport(body); err != nil {
@@ -213,8 +295,14 @@
 	if err := json.Unmarshal(raw, &frames); err != nil {
 		t.Fatal(err)
 	}
-	want := []Frame{{Kind: FramePing}, {Kind: FrameAnswer, Job: "dune-1", Status: 200}, {ID: 5, Kind: FrameSubmit, Body: []byte{0xa1, 0x61, 0x61, 0x01}},
-		{ID: 6, Kind: FramePoll, Job: "j-000412"}, {ID: 7, Kind: FrameCancel, Job: "j-000412"}, {ID: 7, Kind: FrameAnswer, Status: 503, RetryAfter: 1, Body: []byte{0xa0}}}
+	want := []Frame{
+		{Kind: FramePing},
+		{Kind: FrameAnswer, Job: "dune-1", Status: 200},
+		{ID: 5, Kind: FrameSubmit, Body: []byte{0xa1, 0x61, 0x61, 0x01}},
+		{ID: 6, Kind: FramePoll, Job: "j-000412"},
+		{ID: 7, Kind: FrameCancel, Job: "j-000412"},
+		{ID: 7, Kind: FrameAnswer, Status: 503, RetryAfter: 1, Body: []byte{0xa0}},
+	}
 	for i, data := range frames {
 		f, err := DecodeFrame(data)
 		if err != nil || f.ID != want[i].ID || f.Kind != want[i].Kind || f.Job != want[i].Job || !bytes.Equal(f.Body, want[i].Body) ||
@@ -222,7 +310,11 @@
 			t.Errorf("frame %d: %+v, %v", i, f, err)
 		}
 	}
-	if f, err := DecodeFrame(EncodeFrame(Frame{ID: 3, Kind: 77, Job: "j-000001"})); err != nil || f.Kind != 77 {
+	if f, err := DecodeFrame(EncodeFrame(Frame{
+		ID:   3,
+		Kind: 77,
+		Job:  "j-000001",
+	})); err != nil || f.Kind != 77 {
 		t.Errorf("%+v, %v", f, err)
 	}
 }
@@ -235,7 +327,14 @@
 		for i := range tasks {
 			bolts = append(bolts, map[string]any{"bolt": TaskName("j-000001", i), "try": 7, "stage": stage})
 		}
-		return Encode(map[string]any{"dune": "i-000001", "loom": "m", "yard": "a", "shift": 1, "tally": seq, "bolts": bolts})
+		return Encode(map[string]any{
+			"dune":  "i-000001",
+			"loom":  "m",
+			"yard":  "a",
+			"shift": 1,
+			"tally": seq,
+			"bolts": bolts,
+		})
 	}
 	reader := NewReportReader()
 	for seq, b := range [][]byte{body(1, "running", 3), body(2, "running", 3), body(3, "fetching", 3), body(4, "running", 3), body(5, "running", 2), body(6, "no stage", 2), body(7, "running", 2)} {
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -174,7 +174,14 @@
 	texts := []struct {
 		field string
 		v     *string
-	}{{"uid", w.UID}, {"queue", w.Queue}, {"crew", w.Crew}, {"shape", w.Shape}, {"urgency", w.Urgency}, {"pattern", w.Pattern}}
+	}{
+		{"uid", w.UID},
+		{"queue", w.Queue},
+		{"crew", w.Crew},
+		{"shape", w.Shape},
+		{"urgency", w.Urgency},
+		{"pattern", w.Pattern},
+	}
 	for _, t := range texts {
 		if t.v == nil {
 			return nil, fmt.Errorf("%s: missing", t.field)
@@ -201,8 +208,15 @@
 		field string
 		v     *float64
 		most  float64
-	}{{"vcpus", w.VCPUs, 1e6}, {"cards", w.Cards, 1e6}, {"memory_gb", w.Memory, 1e8}, {"image_gb", w.ImageGB, 1e6},
-		{"expect_s", w.Expect, 1e9}, {"mark_s", w.Mark, 1e9}, {"stow_s", w.Stow, 1e9}}
+	}{
+		{"vcpus", w.VCPUs, 1e6},
+		{"cards", w.Cards, 1e6},
+		{"memory_gb", w.Memory, 1e8},
+		{"image_gb", w.ImageGB, 1e6},
+		{"expect_s", w.Expect, 1e9},
+		{"mark_s", w.Mark, 1e9},
+		{"stow_s", w.Stow, 1e9},
+	}
 	for _, n := range numbers {
 		if n.v == nil || math.IsNaN(*n.v) || *n.v < 0 || *n.v > n.most {
 			return nil, fmt.Errorf("%s: missing or out of range", n.field)
@@ -228,11 +242,26 @@
 		return nil, errors.New("looms: empty; null means any")
 	}
 	job := &JobSpec{
-		ID: *w.UID, Class: *w.Queue, Team: *w.Crew, Shape: shape, Priority: priority, Tasks: int(*w.Bolts),
-		Need:  units.Resources{CPU: units.AmountOf(*w.VCPUs), GPU: units.AmountOf(*w.Cards), Memory: units.AmountOf(*w.Memory)},
-		Types: w.Looms, OneZone: *w.Tog, Spread: *w.Apart, Spot: *w.Spot,
-		Image: *w.Pattern, ImageSize: units.AmountOf(*w.ImageGB),
-		Estimate: units.Seconds(*w.Expect), Checkpoint: units.Seconds(*w.Mark), Save: units.Seconds(*w.Stow),
+		ID:       *w.UID,
+		Class:    *w.Queue,
+		Team:     *w.Crew,
+		Shape:    shape,
+		Priority: priority,
+		Tasks:    int(*w.Bolts),
+		Need: units.Resources{
+			CPU:    units.AmountOf(*w.VCPUs),
+			GPU:    units.AmountOf(*w.Cards),
+			Memory: units.AmountOf(*w.Memory),
+		},
+		Types:      w.Looms,
+		OneZone:    *w.Tog,
+		Spread:     *w.Apart,
+		Spot:       *w.Spot,
+		Image:      *w.Pattern,
+		ImageSize:  units.AmountOf(*w.ImageGB),
+		Estimate:   units.Seconds(*w.Expect),
+		Checkpoint: units.Seconds(*w.Mark),
+		Save:       units.Seconds(*w.Stow),
 	}
 	if w.Yard != nil {
 		if *w.Yard == "" || len(*w.Yard) > maxText {
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -24,7 +24,11 @@
 )
 
 var taskStages = map[string]TaskStage{
-	"fetching": TaskFetching, "gathering": TaskFetching, "running": TaskRunning, "flushing": TaskSaving, "ended": TaskExited,
+	"fetching":  TaskFetching,
+	"gathering": TaskFetching,
+	"running":   TaskRunning,
+	"flushing":  TaskSaving,
+	"ended":     TaskExited,
 }
 
 // Cause is why a task has ended.
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -25,7 +25,12 @@
 
 // NewCloud makes a cloud with room for so many machines in each zone.
 func NewCloud(catalog protocol.Catalog, capacity int) *Cloud {
-	return &Cloud{catalog: catalog, capacity: capacity, hires: map[string][]string{}, machines: map[string]protocol.ListedMachine{}}
+	return &Cloud{
+		catalog:  catalog,
+		capacity: capacity,
+		hires:    map[string][]string{},
+		machines: map[string]protocol.ListedMachine{},
+	}
 }
 
 // ServeHTTP implements the cloud's interface.
@@ -75,7 +80,14 @@
 		}
 	}
 	for ; len(names) < rent.Count && there < c.capacity; there++ {
-		m := protocol.ListedMachine{ID: fmt.Sprintf("i-%06d", c.made), Endpoint: fmt.Sprintf("i-%06d:9000", c.made), Type: rent.Type, Zone: rent.Zone, Spot: rent.Spot, Stage: protocol.MachineRunning}
+		m := protocol.ListedMachine{
+			ID:       fmt.Sprintf("i-%06d", c.made),
+			Endpoint: fmt.Sprintf("i-%06d:9000", c.made),
+			Type:     rent.Type,
+			Zone:     rent.Zone,
+			Spot:     rent.Spot,
+			Stage:    protocol.MachineRunning,
+		}
 		c.made++
 		c.machines[m.ID] = m
 		names = append(names, m.ID)
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -85,9 +85,24 @@
 
 // NewMachine makes a machine; Run starts its worker.
 func NewMachine(info MachineInfo, typ string, spot bool, cpus float64, pace Pace, nodes []string, net *Network, rules *RuleChecker, random *rand.Rand) *Machine {
-	return &Machine{MachineInfo: info, Type: typ, Spot: spot, CPUs: cpus, pace: pace, nodes: nodes, net: net, rules: rules, random: random,
-		client:  &http.Client{Transport: &http.Transport{DialContext: net.Dialer(info.ID), DisableKeepAlives: true}},
-		session: 1, leaseFrom: time.Now(), tasks: map[string]*machineTask{}}
+	return &Machine{
+		MachineInfo: info,
+		Type:        typ,
+		Spot:        spot,
+		CPUs:        cpus,
+		pace:        pace,
+		nodes:       nodes,
+		net:         net,
+		rules:       rules,
+		random:      random,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:       net.Dialer(info.ID),
+			DisableKeepAlives: true,
+		}},
+		session:   1,
+		leaseFrom: time.Now(),
+		tasks:     map[string]*machineTask{},
+	}
 }
 
 // Endpoint is where the machine takes direct commands.
@@ -210,8 +225,18 @@
 		}
 		bolts = append(bolts, b)
 	}
-	return protocol.Encode(map[string]any{"dune": m.ID, "endpoint": m.Endpoint(), "loom": m.Type, "yard": m.Zone, "borrowed": m.Spot,
-		"shift": m.session, "tally": m.tally, "baton": m.term, "recall_s": nil, "bolts": bolts})
+	return protocol.Encode(map[string]any{
+		"dune":     m.ID,
+		"endpoint": m.Endpoint(),
+		"loom":     m.Type,
+		"yard":     m.Zone,
+		"borrowed": m.Spot,
+		"shift":    m.session,
+		"tally":    m.tally,
+		"baton":    m.term,
+		"recall_s": nil,
+		"bolts":    bolts,
+	})
 }
 
 // reportLoop reports until the machine is gone.
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -95,7 +95,12 @@
 		l, cut := n.listeners[addr], n.cut[[2]string{from, addr}]
 		n.mu.Unlock()
 		if l == nil && !cut {
-			return nil, &net.OpError{Op: "dial", Net: "memory", Addr: address(addr), Err: syscall.ECONNREFUSED}
+			return nil, &net.OpError{
+				Op:   "dial",
+				Net:  "memory",
+				Addr: address(addr),
+				Err:  syscall.ECONNREFUSED,
+			}
 		}
 		timer := time.NewTimer(time.Second)
 		defer timer.Stop()
@@ -109,7 +114,12 @@
 				n.conns[p] = true
 				return p, nil
 			case <-l.closed:
-				return nil, &net.OpError{Op: "dial", Net: "memory", Addr: address(addr), Err: syscall.ECONNREFUSED}
+				return nil, &net.OpError{
+					Op:   "dial",
+					Net:  "memory",
+					Addr: address(addr),
+					Err:  syscall.ECONNREFUSED,
+				}
 			case <-timer.C:
 			case <-ctx.Done():
 			}
--- a/internal/standin/production.go
+++ b/internal/standin/production.go
@@ -63,7 +63,12 @@
 		if r.Tasks < 1 || r.Tasks > 100_000 || r.Priority >= priorities || r.Shape >= shapes || r.Pages != (r.Tasks-1)/pageTasks {
 			return nil, fmt.Errorf("record %s: out of range", row.Key)
 		}
-		j := &OldJob{Shape: r.Shape, Machines: slices.Clone(r.Machines), Done: make([]byte, (r.Tasks+7)/8), Version: row.Version}
+		j := &OldJob{
+			Shape:    r.Shape,
+			Machines: slices.Clone(r.Machines),
+			Done:     make([]byte, (r.Tasks+7)/8),
+			Version:  row.Version,
+		}
 		if err := done(j, r.Done, 0); err != nil {
 			return nil, fmt.Errorf("record %s: %w", row.Key, err)
 		}
--- a/internal/standin/rulechecker.go
+++ b/internal/standin/rulechecker.go
@@ -56,7 +56,12 @@
 
 // NewRuleChecker holds a team to a limit of processors, and cancelled tasks to a time.
 func NewRuleChecker(limit float64, cancel time.Duration) *RuleChecker {
-	return &RuleChecker{cancel: cancel, limit: limit, jobs: map[string]*checkedJob{}, on: map[taskName]map[string]*MachineInfo{}}
+	return &RuleChecker{
+		cancel: cancel,
+		limit:  limit,
+		jobs:   map[string]*checkedJob{},
+		on:     map[taskName]map[string]*MachineInfo{},
+	}
 }
 
 func (r *RuleChecker) breach(format string, args ...any) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -56,7 +56,13 @@
 	w.tasks = map[string]*workerTask{}
 	client := &http.Client{Timeout: 2 * time.Second}
 	defer client.CloseIdleConnections()
-	report := workerReport{Dune: w.Machine.ID, Loom: w.Machine.Type, Yard: w.Machine.Zone, Borrowed: w.Machine.Spot, Shift: 1}
+	report := workerReport{
+		Dune:     w.Machine.ID,
+		Loom:     w.Machine.Type,
+		Yard:     w.Machine.Zone,
+		Borrowed: w.Machine.Spot,
+		Shift:    1,
+	}
 	node := 0
 	for ctx.Err() == nil {
 		report.Tally++
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -96,17 +96,21 @@
 	request.Body = body
 	c.response.reset()
 	c.handler.ServeHTTP(c.response, request.WithContext(ctx))
-	last := request.Close || !body.ended
+	tooMuchLeft := !body.ended && (request.ContentLength < 0 || request.ContentLength > maxBodyInput)
+	last := request.Close || tooMuchLeft
 	if last {
 		c.response.header.Set("Connection", "close")
 	}
 	if err := c.response.send(c.conn, request.Method != http.MethodHead); err != nil {
 		return false
 	}
-	if !body.ended {
+	if tooMuchLeft {
 		c.discardInput()
+		return false
 	}
-	return !last
+	// The next request begins behind what the handler has left of this one.
+	_, _ = io.Copy(io.Discard, body)
+	return !last && body.ended
 }
 
 // confirmExpectation tells a client that waits for it to send the body.
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -44,7 +44,15 @@
 // NewLink makes a link to addr. receive gets every frame; down is called when
 // the connection is lost.
 func NewLink(dial DialFunc, addr string, receive func([]byte), down func(), random *rand.Rand, log *slog.Logger) *Link {
-	return &Link{dial: dial.or(), addr: addr, out: make(chan []byte, linkQueue), receive: receive, down: down, random: random, log: log}
+	return &Link{
+		dial:    dial.or(),
+		addr:    addr,
+		out:     make(chan []byte, linkQueue),
+		receive: receive,
+		down:    down,
+		random:  random,
+		log:     log,
+	}
 }
 
 // Send queues a frame; it never waits.
--- a/node/day_test.go
+++ b/node/day_test.go
@@ -98,17 +98,44 @@
 		if p.memoryMB == 0 {
 			p.memoryMB = dayMemory
 		}
-		d := &day{t: t, ctx: ctx, net: standin.NewNetwork(), rules: standin.NewRuleChecker(p.limit, p.cancel), state: standin.NewState(),
-			random: rand.New(rand.NewPCG(p.seed, 7)), began: time.Now()}
+		d := &day{
+			t:      t,
+			ctx:    ctx,
+			net:    standin.NewNetwork(),
+			rules:  standin.NewRuleChecker(p.limit, p.cancel),
+			state:  standin.NewState(),
+			random: rand.New(rand.NewPCG(p.seed, 7)),
+			began:  time.Now(),
+		}
 		all := dayCPUs * float64(p.machines)
-		d.settings = config.Fleet{Zones: dayZones,
+		d.settings = config.Fleet{
+			Zones: dayZones,
 			// The other team has no work; its guarantee keeps all machines rented.
-			Teams:   []config.Team{{Name: "team", CPUs: p.limit, CPUsMax: p.limit}, {Name: "other", CPUs: all, CPUsMax: all}},
-			Workers: config.Workers{ReportS: p.report.Seconds(), LeaseS: dayLease.Seconds(), CancelS: p.cancel.Seconds()},
-			State:   config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 50, ListLagS: 1},
-			Resources: config.Resources{CoreShare: 1, RAMMB: p.memoryMB, MaxConnections: 400}}
+			Teams: []config.Team{
+				{Name: "team", CPUs: p.limit, CPUsMax: p.limit},
+				{Name: "other", CPUs: all, CPUsMax: all},
+			},
+			Workers: config.Workers{
+				ReportS: p.report.Seconds(),
+				LeaseS:  dayLease.Seconds(),
+				CancelS: p.cancel.Seconds(),
+			},
+			State:     config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12},
+			Cloud:     config.Cloud{RPS: 50, ListLagS: 1},
+			Resources: config.Resources{CoreShare: 1, RAMMB: p.memoryMB, MaxConnections: 400},
+		}
 		cloud := standin.NewCloud(protocol.Catalog{Types: []protocol.MachineType{
-			{Name: "m", CPUs: dayCPUs, MemoryGB: 64, CacheGB: 10, FetchRate: 1, Price: 1, SpotPrice: 0.5, BootS: 1, Zones: dayZones}}}, p.machines/len(dayZones))
+			{
+				Name:      "m",
+				CPUs:      dayCPUs,
+				MemoryGB:  64,
+				CacheGB:   10,
+				FetchRate: 1,
+				Price:     1,
+				SpotPrice: 0.5,
+				BootS:     1,
+				Zones:     dayZones,
+			}}}, p.machines/len(dayZones))
 		cloud.Rented, cloud.Released = d.rented, d.released
 		d.serve(cloudAddr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if d.is(&d.cloudDown) {
@@ -209,11 +236,21 @@
 // start starts a controller.
 func (d *day) start(i int) {
 	name := func(k int, port string) string { return d.nodes[k].name + port }
-	s := &config.Settings{Node: d.nodes[i].name, Zone: dayZones[i%len(dayZones)], ClientListen: name(i, standin.UsersPort), MeshListen: name(i, portMesh),
-		Services: config.Services{Cloud: cloudAddr, State: name(i, portState)}, Fleet: d.settings}
+	s := &config.Settings{
+		Node:         d.nodes[i].name,
+		Zone:         dayZones[i%len(dayZones)],
+		ClientListen: name(i, standin.UsersPort),
+		MeshListen:   name(i, portMesh),
+		Services:     config.Services{Cloud: cloudAddr, State: name(i, portState)},
+		Fleet:        d.settings,
+	}
 	for k := range d.nodes {
 		if k != i {
-			s.Others = append(s.Others, config.Peer{Node: d.nodes[k].name, Zone: dayZones[k%len(dayZones)], Endpoint: name(k, portMesh)})
+			s.Others = append(s.Others, config.Peer{
+				Node:     d.nodes[k].name,
+				Zone:     dayZones[k%len(dayZones)],
+				Endpoint: name(k, portMesh),
+			})
 		}
 	}
 	ctx, stop := context.WithCancel(d.ctx)
@@ -223,8 +260,12 @@
 	if testing.Verbose() {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelInfo})).With("node", s.Node)
 	}
-	n := New(s, Deps{Log: log, Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)), Dial: d.net.Dialer(d.nodes[i].name),
-		Listen: func(_ context.Context, addr string) (net.Listener, error) { return d.net.Listen(addr), nil }})
+	n := New(s, Deps{
+		Log:    log,
+		Random: rand.New(rand.NewPCG(d.random.Uint64(), 1)),
+		Dial:   d.net.Dialer(d.nodes[i].name),
+		Listen: func(_ context.Context, addr string) (net.Listener, error) { return d.net.Listen(addr), nil },
+	})
 	go func() {
 		defer close(done)
 		if err := n.Run(ctx); err != nil {
@@ -253,7 +294,10 @@
 		names = append(names, n.name)
 	}
 	machine := standin.NewMachine(standin.MachineInfo{ID: m.ID, Zone: m.Zone}, m.Type, m.Spot, dayCPUs,
-		standin.Pace{Report: units.Seconds(d.settings.Workers.ReportS).Duration(), Lease: dayLease}, names, d.net, d.rules, rand.New(rand.NewPCG(d.random.Uint64(), 2)))
+		standin.Pace{
+			Report: units.Seconds(d.settings.Workers.ReportS).Duration(),
+			Lease:  dayLease,
+		}, names, d.net, d.rules, rand.New(rand.NewPCG(d.random.Uint64(), 2)))
 	d.machines = append(d.machines, machine)
 	go machine.Run(d.ctx)
 }
@@ -309,7 +353,10 @@
 		r = bytes.NewReader(protocol.Encode(body))
 	}
 	req, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://n-%d%s%s", node, standin.UsersPort, path), r)
-	client := http.Client{Transport: &http.Transport{DialContext: d.net.Dialer("user"), DisableKeepAlives: true}}
+	client := http.Client{Transport: &http.Transport{
+		DialContext:       d.net.Dialer("user"),
+		DisableKeepAlives: true,
+	}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil, nil
@@ -336,7 +383,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.users++
-	return standin.JobInfo{ID: fmt.Sprintf("j-%06d", d.users), Tasks: tasks, CPUs: 1, Runs: runs, Urgency: "normal"}
+	return standin.JobInfo{
+		ID:      fmt.Sprintf("j-%06d", d.users),
+		Tasks:   tasks,
+		CPUs:    1,
+		Runs:    runs,
+		Urgency: "normal",
+	}
 }
 
 func described(j standin.JobInfo) map[string]any {
--- a/node/node.go
+++ b/node/node.go
@@ -90,5 +90,11 @@
 	}
 	defer mesh.Close()
 	d.Log.Info("node starts", "node", s.Node, "zone", s.Zone, "clients", s.ClientListen, "mesh", s.MeshListen)
-	return coordination.NewController(s, coordination.Environment{Policy: d.Policy, Clock: d.Clock, Random: d.Random, Log: d.Log, Dial: d.Dial}).Run(ctx, clients, mesh)
+	return coordination.NewController(s, coordination.Environment{
+		Policy: d.Policy,
+		Clock:  d.Clock,
+		Random: d.Random,
+		Log:    d.Log,
+		Dial:   d.Dial,
+	}).Run(ctx, clients, mesh)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -39,29 +39,59 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	fleet := standin.NewCloud(protocol.Catalog{Types: []protocol.MachineType{
-		{Name: "m", CPUs: 4, MemoryGB: 16, CacheGB: 10, Price: 1, SpotPrice: 0.5, BootS: 1, Zones: []string{"a"}}}}, 3)
+		{
+			Name:      "m",
+			CPUs:      4,
+			MemoryGB:  16,
+			CacheGB:   10,
+			Price:     1,
+			SpotPrice: 0.5,
+			BootS:     1,
+			Zones:     []string{"a"},
+		}}}, 3)
 	fleet.Rented = func(m protocol.ListedMachine) {
-		w := &standin.Worker{Machine: m, Nodes: c.addrs, Every: 60 * time.Millisecond, Runs: 300 * time.Millisecond,
+		w := &standin.Worker{
+			Machine: m,
+			Nodes:   c.addrs,
+			Every:   60 * time.Millisecond,
+			Runs:    300 * time.Millisecond,
 			Started: func(task string, _ uint64) {
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				c.tries[task]++
-			}}
+			},
+		}
 		go w.Run(ctx)
 	}
 	cloud := httptest.NewServer(fleet)
 	t.Cleanup(cloud.Close)
 	names := []string{"n-0", "n-1", "n-2"}
 	for i := range names {
-		s := &config.Settings{Node: names[i], Zone: "a", ClientListen: c.addrs[i], MeshListen: meshes[i].Addr().String(),
-			Services: config.Services{Cloud: strings.TrimPrefix(cloud.URL, "http://"), State: strings.TrimPrefix(state.URL, "http://")},
-			Fleet: config.Fleet{Zones: []string{"a"}, Teams: []config.Team{{Name: "team", CPUs: 8, CPUsMax: 12}},
-				Workers: config.Workers{ReportS: 0.1, LeaseS: 8, CancelS: 10},
-				State:   config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 50},
-				Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 200}}}
+		s := &config.Settings{
+			Node:         names[i],
+			Zone:         "a",
+			ClientListen: c.addrs[i],
+			MeshListen:   meshes[i].Addr().String(),
+			Services: config.Services{
+				Cloud: strings.TrimPrefix(cloud.URL, "http://"),
+				State: strings.TrimPrefix(state.URL, "http://"),
+			},
+			Fleet: config.Fleet{
+				Zones:     []string{"a"},
+				Teams:     []config.Team{{Name: "team", CPUs: 8, CPUsMax: 12}},
+				Workers:   config.Workers{ReportS: 0.1, LeaseS: 8, CancelS: 10},
+				State:     config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12},
+				Cloud:     config.Cloud{RPS: 50},
+				Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 200},
+			},
+		}
 		for k := range names {
 			if k != i {
-				s.Others = append(s.Others, config.Peer{Node: names[k], Zone: "a", Endpoint: meshes[k].Addr().String()})
+				s.Others = append(s.Others, config.Peer{
+					Node:     names[k],
+					Zone:     "a",
+					Endpoint: meshes[k].Addr().String(),
+				})
 			}
 		}
 		nctx, stop := context.WithCancel(ctx)
@@ -125,9 +155,28 @@
 }
 
 func submission(id string, tasks int) map[string]any {
-	return map[string]any{"uid": id, "queue": "q", "crew": "team", "shape": "sweep", "urgency": "normal", "bolts": tasks,
-		"vcpus": 2.0, "cards": 0.0, "memory_gb": 1.0, "pattern": "img", "image_gb": 0.5, "looms": nil, "yard": nil,
-		"together": false, "apart": false, "borrowed": true, "expect_s": 1.0, "mark_s": 0.0, "stow_s": 0.0, "due_s": nil}
+	return map[string]any{
+		"uid":       id,
+		"queue":     "q",
+		"crew":      "team",
+		"shape":     "sweep",
+		"urgency":   "normal",
+		"bolts":     tasks,
+		"vcpus":     2.0,
+		"cards":     0.0,
+		"memory_gb": 1.0,
+		"pattern":   "img",
+		"image_gb":  0.5,
+		"looms":     nil,
+		"yard":      nil,
+		"together":  false,
+		"apart":     false,
+		"borrowed":  true,
+		"expect_s":  1.0,
+		"mark_s":    0.0,
+		"stow_s":    0.0,
+		"due_s":     nil,
+	}
 }
 
 // The whole service end to end: any node accepts, tasks run once, the leader
