--- a/cmd/dunestand/main.go
+++ b/cmd/dunestand/main.go
@@ -64,7 +64,12 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput{err} })
 	root.CompletionOptions.DisableDefaultCmd = true
 
-	check := &cobra.Command{
+	root.AddCommand(checkCommand(), policyCommand(), versionCommand())
+	return root
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file",
 		Long:  "Check a settings file, and the policy that it names. Prints nothing but what is wrong, and then exits with status 2.",
@@ -74,12 +79,21 @@
 			return err
 		},
 	}
-	policy := &cobra.Command{Use: "policy", Short: "Work with policy files", Args: oneArgument,
+}
+
+func policyCommand() *cobra.Command {
+	policy := &cobra.Command{
+		Use:   "policy",
+		Short: "Work with policy files",
+		Args:  oneArgument,
 		RunE: func(*cobra.Command, []string) error {
 			return badInput{errors.New("policy: use dunestand policy check FILE")}
-		}}
+		},
+	}
 	policy.AddCommand(&cobra.Command{
-		Use: "check FILE", Short: "Check a policy file", Args: oneArgument,
+		Use:   "check FILE",
+		Short: "Check a policy file",
+		Args:  oneArgument,
 		RunE: func(_ *cobra.Command, args []string) error {
 			if _, err := config.LoadPolicy(args[0]); err != nil {
 				return badInput{err}
@@ -87,7 +101,13 @@
 			return nil
 		},
 	})
-	version := &cobra.Command{Use: "version", Short: "Print the version",
+	return policy
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
 		Args: func(cmd *cobra.Command, args []string) error {
 			if len(args) > 0 {
 				return badInput{fmt.Errorf("%s: expected no arguments", cmd.CommandPath())}
@@ -96,9 +116,8 @@
 		},
 		Run: func(cmd *cobra.Command, _ []string) {
 			fmt.Fprintln(cmd.OutOrStdout(), "dunestand", Version, runtime.Version())
-		}}
-	root.AddCommand(check, policy, version)
-	return root
+		},
+	}
 }
 
 func oneArgument(cmd *cobra.Command, args []string) error {
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -20,6 +20,14 @@
 	Freeing   units.Resources // part of Used, held by attempts that were told to stop
 }
 
+// Exponential backoff of jobs whose tasks fail, and of replicas that keep ending.
+const (
+	errorBackoff      = units.Second / 4
+	maxErrorBackoff   = 60 * units.Second
+	replicaBackoff    = units.Second / 2
+	maxReplicaBackoff = 30 * units.Second
+)
+
 // Ledger is the leader's view of jobs, machines and teams. It is not safe for
 // concurrent use.
 type Ledger struct {
@@ -349,7 +357,7 @@
 	suspect := !j.Succeeded && len(j.ErrorsOn) >= 3
 	if suspect {
 		shift := min(len(j.ErrorsOn)+j.Errors/4, 8)
-		j.RetryAt = now + min(units.Second<<shift/4, 60*units.Second)
+		j.RetryAt = now + min(errorBackoff<<shift, maxErrorBackoff)
 		for _, other := range l.Machines {
 			delete(other.errorJobs, j.Spec.ID)
 		}
@@ -396,7 +404,7 @@
 	}
 	j.short[a.Index]++
 	if n := j.short[a.Index]; n > 1 {
-		j.RetryAt = max(j.RetryAt, now+min(units.Second<<min(n-2, 8)/2, 30*units.Second))
+		j.RetryAt = max(j.RetryAt, now+min(replicaBackoff<<min(n-2, 8), maxReplicaBackoff))
 	}
 }
 
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -184,6 +184,9 @@
 	})
 }
 
+// restartTime is what a controller that was ended takes to be back.
+const restartTime = 4 * units.Second
+
 // bypassPatience is for how long a leader may refuse this node's links while
 // it renews its lease. A leader that was just restarted is redialled sooner.
 const bypassPatience = 3 * units.Second
@@ -209,7 +212,7 @@
 		return unavailable("the leader refuses this node's links")
 	case len(c.deps.Settings.Others) > 0 && !c.peers.ReachesAny() && lease.Unanswered() > lease.timing.Length:
 		return unavailable("cut off from the state service and the other controllers")
-	case now-units.Micros(c.lastUseful.Load()) <= 2*lease.timing.Length+4*units.Second:
+	case now-units.Micros(c.lastUseful.Load()) <= 2*lease.timing.Length+restartTime:
 		return transport.Response{Status: http.StatusOK}
 	}
 	return unavailable("no leader in reach")
--- a/internal/coordination/finals.go
+++ b/internal/coordination/finals.go
@@ -13,10 +13,13 @@
 	return ReadFinal(ctx, t.Store, id)
 }
 
+// finalCall bounds the read of a final record. A user waits for it, for 2 s in all.
+const finalCall = 1200 * units.Millisecond
+
 // ReadFinal reads a finished job's record.
 func ReadFinal(ctx context.Context, store *bookkeeping.Store, id string) (bookkeeping.Final, bool, error) {
 	var f bookkeeping.Final
-	item, ok, err := store.Get(ctx, bookkeeping.KeyFinal(id), 1200*units.Millisecond)
+	item, ok, err := store.Get(ctx, bookkeeping.KeyFinal(id), finalCall)
 	if err != nil || !ok {
 		return f, false, err
 	}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -35,9 +35,12 @@
 	return length + length*drift/1_000_000 + margin
 }
 
+// workerLeaseMargin covers what a report and its answer take on their way.
+const workerLeaseMargin = 500 * units.Millisecond
+
 // leaseBound is how long a machine's tasks may go on after its last answered report
 // came in here, by any clock.
-func leaseBound(w config.Workers) units.Micros { return withDrift(w.Lease(), 500*units.Millisecond) }
+func leaseBound(w config.Workers) units.Micros { return withDrift(w.Lease(), workerLeaseMargin) }
 
 // confirmsAtOnce tells whether a user may be told of a cancellation as soon as it is
 // durable. From then on every controller that prolongs a worker's lease knows of it:
@@ -47,17 +50,31 @@
 // Otherwise the user is told once nothing of the job is left on any machine.
 func confirmsAtOnce(w config.Workers) bool { return leaseBound(w) <= w.Cancel() }
 
+// The pace of the fleet lease: its length is a share of the workers' lease within bounds.
+const (
+	minLease    = 3 * units.Second
+	maxLease    = 5 * units.Second
+	leasePoll   = 400 * units.Millisecond
+	claimMargin = 300 * units.Millisecond
+	// outageGrace is the time that a holder has to renew once an outage is over.
+	outageGrace = 800 * units.Millisecond
+	// A follower reads the record more often as its end comes near, no sooner than
+	// minLeasePoll, and spread over leasePollSpread so that nodes do not race.
+	minLeasePoll    = 20 * units.Millisecond
+	leasePollSpread = 100 * units.Millisecond
+)
+
 // TimingFor chooses the lease's pace. A leader's loss costs the lease and the
 // workers' way to its successor, all within the workers' own lease; a longer
 // fleet lease only helps through outages of the state service, which the
 // workers' lease bridges too.
 func TimingFor(workerLease units.Micros) LeaseTiming {
-	length := min(max(workerLease.Share(3, 10), 3*units.Second), 5*units.Second)
+	length := min(max(workerLease.Share(3, 10), minLease), maxLease)
 	return LeaseTiming{
 		Length: length,
 		Renew:  length / 5,
-		Poll:   400 * units.Millisecond,
-		Margin: 300 * units.Millisecond,
+		Poll:   leasePoll,
+		Margin: claimMargin,
 	}
 }
 
@@ -77,7 +94,7 @@
 // observe takes in a read that was answered at now.
 func (w *leaseMonitor) observe(record bookkeeping.Lease, version uint64, now units.Micros) {
 	if w.broken {
-		w.broken, w.grace = false, now+800*units.Millisecond
+		w.broken, w.grace = false, now+outageGrace
 	}
 	if !w.seen || version != w.version {
 		w.seen, w.record, w.version, w.since = true, record, version, now
@@ -406,8 +423,8 @@
 	if !due {
 		// Poll more closely near the end, spread so that nodes do not race.
 		left := withDrift(f.timing.Length, f.timing.Margin) - (now - since)
-		jitter := units.Micros(f.random.Int64N(int64(100 * units.Millisecond)))
-		return max(20*units.Millisecond, min(f.timing.Poll, left)) + jitter
+		jitter := units.Micros(f.random.Int64N(int64(leasePollSpread)))
+		return max(minLeasePoll, min(f.timing.Poll, left)) + jitter
 	}
 	// A node that hears nobody leaves the lease to the others for a while: it
 	// may be cut off, and could do nothing with it.
@@ -416,7 +433,7 @@
 		patience = f.timing.Length
 	}
 	if version != 0 && !f.Connected() && now-since < patience {
-		return 100 * units.Millisecond
+		return leasePollSpread
 	}
 	return f.claim(ctx, rec, version)
 }
--- a/internal/coordination/persistence.go
+++ b/internal/coordination/persistence.go
@@ -69,13 +69,20 @@
 	}
 }
 
+// Backoff of a save whose outcome is open, and of a read that an outcome hangs on.
+const (
+	commitBackoff    = 100 * units.Millisecond
+	maxCommitBackoff = 400 * units.Millisecond
+	readRetry        = 200 * units.Millisecond
+)
+
 // commit carries a save through. A save without an answer may be carried out
 // at any later time, so the very same one is sent until its outcome is known:
 // its conditions see to it that it happens once.
 func (t *Term) commit(ctx context.Context, s *bookkeeping.Save) {
 	uncertain := false
 	began := t.Clock.Steady()
-	for wait := 100 * units.Millisecond; ; wait = min(2*wait, 400*units.Millisecond) {
+	for wait := commitBackoff; ; wait = min(2*wait, maxCommitBackoff) {
 		version, err := t.Store.Commit(ctx, s.Txn, false, stateCall)
 		if err == nil {
 			if t.traces {
@@ -197,7 +204,7 @@
 				}
 				break
 			}
-			if !pause(ctx, 200*units.Millisecond) {
+			if !pause(ctx, readRetry) {
 				return
 			}
 		}
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -9,11 +9,18 @@
 	"dunestand/internal/units"
 )
 
+const (
+	minDurableWait = 150 * units.Millisecond
+	maxDurableWait = 500 * units.Millisecond
+	// noRoomPause is how long a machine that refused a start for want of room gets none.
+	noRoomPause = 2 * units.Second
+)
+
 // durableWait is how long an answer to a report waits for the save that must
 // come before the starts it is to carry: else they go with the next report, so
 // where reports come seldom it waits longer.
 func (t *Term) durableWait() units.Micros {
-	return min(max(t.Settings.Fleet.Workers.Report()/10, 150*units.Millisecond), 500*units.Millisecond)
+	return min(max(t.Settings.Fleet.Workers.Report()/10, minDurableWait), maxDurableWait)
 }
 
 // restoreWait is how long a report waits for the restore of the records: mostly
@@ -241,7 +248,7 @@
 			t.Log.Info("machine set aside as faulty", "machine", m.ID, "task", a.Task())
 		}
 	case protocol.CauseNoRoom:
-		m.BlockedUntil = now + 2*units.Second
+		m.BlockedUntil = now + noRoomPause
 	case protocol.CauseUnknown, protocol.CauseBusy:
 		j.RetryAt = now + units.Second
 	}
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -278,6 +278,9 @@
 	signal(t.saveSignal)
 }
 
+// storedCall bounds each of the reads that a poll is answered from without the leader.
+const storedCall = 800 * units.Millisecond
+
 // PollStored answers a poll from the records alone, for a node that does not
 // lead and cannot reach the leader. What they say was committed before anybody
 // was told of it, so a fresh read is never older than an earlier answer.
@@ -292,7 +295,7 @@
 	if r, found := storedState(ctx, store, id, w); found {
 		return r
 	}
-	item, ok, err := store.Get(ctx, bookkeeping.KeyInbox(id), 800*units.Millisecond)
+	item, ok, err := store.Get(ctx, bookkeeping.KeyInbox(id), storedCall)
 	if err != nil {
 		return unavailable("state service is out of reach")
 	}
@@ -310,7 +313,7 @@
 
 // storedState looks for a job in the live and then in the final records.
 func storedState(ctx context.Context, store *bookkeeping.Store, id string, w config.Workers) (transport.Response, bool) {
-	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), 800*units.Millisecond)
+	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), storedCall)
 	if err != nil {
 		return unavailable("state service is out of reach"), true
 	}
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -142,11 +142,15 @@
 	return head.Holder == t.Settings.Node && strings.HasPrefix(head.Save, fmt.Sprintf("%d-", t.number))
 }
 
+// listCall bounds the read of one page of a list.
+const listCall = 3 * units.Second
+
+// listAll reads all records whose keys have a prefix.
 func (t *Term) listAll(ctx context.Context, prefix string) ([]protocol.Item, error) {
 	var all []protocol.Item
 	from := ""
 	for {
-		page, err := t.Store.List(ctx, prefix, from, 3*units.Second)
+		page, err := t.Store.List(ctx, prefix, from, listCall)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/coordination/round.go
+++ b/internal/coordination/round.go
@@ -134,6 +134,9 @@
 	}
 }
 
+// saveMargin is what a task that is stopped gets to save beyond what its owner states.
+const saveMargin = 2 * units.Second
+
 // carryOut takes a plan over into the ledger.
 func (t *Term) carryOut(wanted Wanted, refs *snapshotRefs, now units.Micros) {
 	gangs := map[int]bool{}
@@ -161,7 +164,7 @@
 	}
 	for _, p := range wanted.Stops {
 		a := refs.victims[p.Victim]
-		t.ledger.Stop(a, a.Job.Spec.Save+2*units.Second)
+		t.ledger.Stop(a, a.Job.Spec.Save+saveMargin)
 		t.requestDirect(a.Machine, nil, now)
 		t.Log.Info("task preempted", "task", a.Task(), "attempt", a.Number, "machine", a.Machine.ID,
 			"class", a.Job.Spec.Class, "for", refs.jobs[p.For].Spec.ID, "for_class", refs.jobs[p.For].Spec.Class)
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -88,10 +88,10 @@
 // may still reach them before their leases run out. This must not wait for
 // anything that the same cut may hold up, such as a call to the cloud.
 func (t *Term) checkContact(now units.Micros) {
-	quiet := t.Settings.Fleet.Workers.Report().Share(3, 2) + 1200*units.Millisecond
+	quiet := t.Settings.Fleet.Workers.Report().Share(3, 2) + contactMargin
 	// Before the first report the workers have to find this node. Whom to
 	// expect, the records say.
-	last, known := t.claimedAt+4*units.Second, 0
+	last, known := t.claimedAt+workerReturn, 0
 	for _, m := range t.ledger.Machines {
 		if m.Seen && !m.Releasing {
 			known++
@@ -142,11 +142,20 @@
 // in, by this node's clock.
 func (t *Term) workerLease() units.Micros { return leaseBound(t.Settings.Fleet.Workers) }
 
+// What the silence of machines is measured by. Reports come a quarter of their interval
+// early or late.
+const (
+	reconnectTime  = 1500 * units.Millisecond // what a lost connection costs a worker
+	unansweredTime = 5 * units.Second         // what a report without an answer does
+	contactMargin  = 1200 * units.Millisecond // beyond one and a half reports
+	workerReturn   = 4 * units.Second         // for workers to find a new leader
+)
+
 // silentAfter is how long a machine may be silent before it is thought to be
 // in trouble: two reports and what a lost connection costs, or, where reports
 // come seldom, one report and what one costs that gets no answer (the worker
 // waits 4 s and turns to the next node a second later).
 func (t *Term) silentAfter() units.Micros {
 	report := t.Settings.Fleet.Workers.Report()
-	return min(report.Share(5, 2)+1500*units.Millisecond, report.Share(5, 4)+5*units.Second)
+	return min(report.Share(5, 2)+reconnectTime, report.Share(5, 4)+unansweredTime)
 }
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -63,12 +63,16 @@
 	return j.DoneCount() == 0 && !(j.Service() && j.Begun) && t.Clock.Wall()-j.Submitted > startPatience && j.Spec.Shape != protocol.Gang
 }
 
+// preemptionPause is how long a job waits for room where no aim says how soon it is to
+// start.
+const preemptionPause = 2 * units.Second
+
 // patient tells whether a job waits before tasks of others are stopped for it.
 // What is stopped has to be done again, and in a large fleet tasks end all the
 // time: where they leave room enough for the job in a part of what the users'
 // aims allow, it waits that long.
 func (t *Term) patient(j *bookkeeping.Job, now units.Micros) bool {
-	patience := 2 * units.Second
+	patience := preemptionPause
 	if j.Spec.Priority < protocol.High {
 		if due := t.Settings.Fleet.GuaranteeDue(); due > 0 {
 			patience = due / 4
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -115,7 +115,7 @@
 func (t *Term) Run(ctx context.Context) {
 	t.Log.Info("term begins")
 	for !t.restore(ctx) {
-		if !pause(ctx, 200*units.Millisecond) {
+		if !pause(ctx, readRetry) {
 			return
 		}
 	}
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -1,9 +1,7 @@
 package protocol
 
 import (
-	"errors"
 	"fmt"
-	"math"
 	"strings"
 
 	"dunestand/internal/units"
@@ -112,29 +110,6 @@
 	Deadline   units.Micros // from the submission; 0: none
 }
 
-type submission struct {
-	UID     *string  `cbor:"uid"`
-	Queue   *string  `cbor:"queue"`
-	Crew    *string  `cbor:"crew"`
-	Shape   *string  `cbor:"shape"`
-	Urgency *string  `cbor:"urgency"`
-	Bolts   *int64   `cbor:"bolts"`
-	VCPUs   *float64 `cbor:"vcpus"`
-	Cards   *float64 `cbor:"cards"`
-	Memory  *float64 `cbor:"memory_gb"`
-	Pattern *string  `cbor:"pattern"`
-	ImageGB *float64 `cbor:"image_gb"`
-	Looms   []string `cbor:"looms"`
-	Yard    *string  `cbor:"yard"`
-	Tog     *bool    `cbor:"together"`
-	Apart   *bool    `cbor:"apart"`
-	Spot    *bool    `cbor:"borrowed"`
-	Expect  *float64 `cbor:"expect_s"`
-	Mark    *float64 `cbor:"mark_s"`
-	Stow    *float64 `cbor:"stow_s"`
-	Due     *float64 `cbor:"due_s"`
-}
-
 const maxJobDigits = 18
 
 // ValidJobID tells whether a text has the form of a job id.
@@ -164,123 +139,6 @@
 	return w.UID, true
 }
 
-// ParseSubmission reads and checks a user's submission. Its error is the one
-// line that the user gets with status 400.
-func ParseSubmission(body []byte) (*JobSpec, error) {
-	var w submission
-	if err := Decode(body, &w); err != nil {
-		return nil, err
-	}
-	texts := []struct {
-		field string
-		v     *string
-	}{
-		{"uid", w.UID},
-		{"queue", w.Queue},
-		{"crew", w.Crew},
-		{"shape", w.Shape},
-		{"urgency", w.Urgency},
-		{"pattern", w.Pattern},
-	}
-	for _, t := range texts {
-		if t.v == nil {
-			return nil, fmt.Errorf("%s: missing", t.field)
-		}
-		if len(*t.v) > maxText {
-			return nil, fmt.Errorf("%s: over %d bytes", t.field, maxText)
-		}
-	}
-	if !ValidJobID(*w.UID) {
-		return nil, errors.New("uid: not of the form j-000412")
-	}
-	shape, ok := shapes[*w.Shape]
-	if !ok {
-		return nil, errors.New("shape: unknown")
-	}
-	priority, ok := ParsePriority(*w.Urgency)
-	if !ok {
-		return nil, errors.New("urgency: unknown")
-	}
-	if w.Bolts == nil || *w.Bolts < 1 || *w.Bolts > MaxTasks {
-		return nil, fmt.Errorf("bolts: missing or not within 1 to %d", MaxTasks)
-	}
-	numbers := []struct {
-		field string
-		v     *float64
-		most  float64
-	}{
-		{"vcpus", w.VCPUs, 1e6},
-		{"cards", w.Cards, 1e6},
-		{"memory_gb", w.Memory, 1e8},
-		{"image_gb", w.ImageGB, 1e6},
-		{"expect_s", w.Expect, 1e9},
-		{"mark_s", w.Mark, 1e9},
-		{"stow_s", w.Stow, 1e9},
-	}
-	for _, n := range numbers {
-		if n.v == nil || math.IsNaN(*n.v) || *n.v < 0 || *n.v > n.most {
-			return nil, fmt.Errorf("%s: missing or out of range", n.field)
-		}
-	}
-	for _, b := range []struct {
-		field string
-		v     *bool
-	}{{"together", w.Tog}, {"apart", w.Apart}, {"borrowed", w.Spot}} {
-		if b.v == nil {
-			return nil, fmt.Errorf("%s: missing", b.field)
-		}
-	}
-	if len(w.Looms) > maxTypes {
-		return nil, fmt.Errorf("looms: over %d types", maxTypes)
-	}
-	for _, l := range w.Looms {
-		if l == "" || len(l) > maxText {
-			return nil, errors.New("looms: a name is empty or too long")
-		}
-	}
-	if w.Looms != nil && len(w.Looms) == 0 {
-		return nil, errors.New("looms: empty; null means any")
-	}
-	job := &JobSpec{
-		ID:       *w.UID,
-		Class:    *w.Queue,
-		Team:     *w.Crew,
-		Shape:    shape,
-		Priority: priority,
-		Tasks:    int(*w.Bolts),
-		Need: units.Resources{
-			CPU:    units.AmountOf(*w.VCPUs),
-			GPU:    units.AmountOf(*w.Cards),
-			Memory: units.AmountOf(*w.Memory),
-		},
-		Types:      w.Looms,
-		OneZone:    *w.Tog,
-		Spread:     *w.Apart,
-		Spot:       *w.Spot,
-		Image:      *w.Pattern,
-		ImageSize:  units.AmountOf(*w.ImageGB),
-		Estimate:   units.Seconds(*w.Expect),
-		Checkpoint: units.Seconds(*w.Mark),
-		Save:       units.Seconds(*w.Stow),
-	}
-	if w.Yard != nil {
-		if *w.Yard == "" || len(*w.Yard) > maxText {
-			return nil, errors.New("yard: empty or too long")
-		}
-		job.Zone = *w.Yard
-	}
-	if w.Due != nil {
-		if math.IsNaN(*w.Due) || *w.Due < 0 || *w.Due > 1e9 {
-			return nil, errors.New("due_s: out of range")
-		}
-		job.Deadline = max(units.Seconds(*w.Due), 1)
-	}
-	if shape == Service {
-		job.Estimate, job.Deadline = 0, 0 // it has no end
-	}
-	return job, nil
-}
-
 // JobState is the answer about a job.
 type JobState struct {
 	UID     string `cbor:"uid"`
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -15,6 +15,9 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// idleConnection is how long an unused connection is kept.
+const idleConnection = 60 * time.Second
+
 // dialTimeout is how long opening a connection may take.
 const dialTimeout = time.Second
 
@@ -40,7 +43,7 @@
 		DialContext:         dial.or(),
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
-		IdleConnTimeout:     60 * time.Second,
+		IdleConnTimeout:     idleConnection,
 		DisableCompression:  true,
 	}
 	return &Client{base: "http://" + addr, http: &http.Client{Transport: t}, most: maxAnswer}
--- a/node/node.go
+++ b/node/node.go
@@ -59,19 +59,25 @@
 	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 }
 
+// The port of a process that has just ended is free after a while.
+const (
+	listenTries = 20
+	listenPause = 250 * time.Millisecond
+)
+
 // listen keeps trying for a while: the port of a process that has just ended
 // may not be free yet.
 func listen(ctx context.Context, addr string) (net.Listener, error) {
 	var lc net.ListenConfig
 	for try := 0; ; try++ {
 		l, err := lc.Listen(ctx, "tcp", addr)
-		if err == nil || try == 20 {
+		if err == nil || try == listenTries {
 			return l, err
 		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-time.After(250 * time.Millisecond):
+		case <-time.After(listenPause):
 		}
 	}
 }
