--- /dev/null
+++ b/internal/coordination/cost_test.go
@@ -0,0 +1,124 @@
+package coordination
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// While much waits, rounds come every 25 ms. Going over the whole fleet for what has
+// passed its time is not needed as often.
+func TestTimeoutsAreCheckedFourTimesASecond(t *testing.T) {
+	term, clock := guardTerm(t, 1)
+	term.lastSummary = clock.now + units.Second // this term has no state service to count requests of
+	checks := 0
+	for range 40 {
+		clock.now += roundPause
+		before := term.lastTimeoutCheck
+		term.checkTimeouts(clock.now)
+		if term.lastTimeoutCheck != before {
+			checks++
+		}
+	}
+	if checks != 4 {
+		t.Errorf("%d checks within a second", checks)
+	}
+}
+
+// The jobs that a controller takes are bounded by its memory. What one is reckoned to
+// take must leave room for everything else.
+func TestJobsAtTheBoundLeaveRoom(t *testing.T) {
+	const mostTaken = 0.5 // of what is reckoned
+	for _, c := range []struct{ jobs, tasks int }{{400, 1}, {400, 3000}, {20, protocol.MaxTasks}} {
+		term, clock := guardTerm(t, 1)
+		before, reckonedBefore := heapInUse(), term.ledger.Memory()
+		for i := range c.jobs {
+			spec := *modelSpec(fmt.Sprintf("j-%06d", i+100))
+			spec.Tasks = c.tasks
+			job := term.ledger.NewJob(spec, clock.now, clock.now)
+			for index := range c.tasks / 2 {
+				term.ledger.Done(job, 2*index, clock.now)
+			}
+		}
+		saveAll(term)
+		taken, reckoned := float64(heapInUse()-before), float64(term.ledger.Memory()-reckonedBefore)
+		if taken > reckoned*mostTaken {
+			t.Errorf("%d jobs of %d tasks take %.0f bytes, reckoned are %.0f", c.jobs, c.tasks, taken, reckoned)
+		}
+		runtime.KeepAlive(term)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// One report, the end of one task and one save cost the same however many
+// machines and jobs there are besides: a leader of a thousand machines takes in
+// hundreds of reports a second.
+func TestOneStepCostsTheSameInALargeFleet(t *testing.T) {
+	steps := func(machines int) map[string]float64 {
+		term, reports := busyTerm(machines)
+		i := 0
+		next := func() *protocol.Report {
+			i++
+			r := reports[i%len(reports)]
+			r.Seq += 10
+			return r
+		}
+		done := 0
+		return map[string]float64{
+			"report": testing.AllocsPerRun(100, func() {
+				r := next()
+				term.commands(term.observe(r, units.Second), r, units.Second)
+			}),
+			"end of a task": testing.AllocsPerRun(100, func() {
+				m := term.ledger.Machines[next().Machine]
+				term.ledger.Gone(m.Sorted()[0], units.Second)
+				term.fill(m, units.Second)
+			}),
+			"save": testing.AllocsPerRun(100, func() {
+				done++
+				j := term.ledger.Jobs["j-000299"]
+				term.ledger.Done(j, done, units.Second)
+				j.Changed(units.Second, true)
+				s := term.ledger.BuildSave("1-1", term.bucketVersions, bookkeeping.SaveLimits{}, units.Second)
+				term.ledger.Applied(s, 1)
+			}),
+		}
+	}
+	small, large := steps(20), steps(240)
+	for step, allocs := range large {
+		if allocs > 1.6*small[step] {
+			t.Errorf("%s: %v allocations on 20 machines, %v on 240", step, small[step], allocs)
+		}
+	}
+}
+
+// A report that shows nothing new is compared with the ledger hundreds of times a
+// second on a small machine: it leaves nothing for the collector, however many tasks
+// the machine has and whatever would be logged of them.
+func TestReportWithoutNewsAllocatesNothing(t *testing.T) {
+	term, reports := busyTerm(20)
+	r := reports[0]
+	if len(r.Tasks) < 10 {
+		t.Fatalf("the machine has only %d tasks", len(r.Tasks))
+	}
+	allocs := testing.AllocsPerRun(100, func() {
+		r.Seq++
+		m := term.observe(r, units.Second)
+		if out := term.commands(m, r, units.Second); len(out) > 0 {
+			t.Errorf("commands for nothing new: %v", out)
+		}
+	})
+	if allocs > 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+}
--- /dev/null
+++ b/internal/coordination/model_store_test.go
@@ -0,0 +1,188 @@
+package coordination
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"pgregory.net/rapid"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+type modelStore struct {
+	items    map[string]protocol.Item
+	revision uint64
+	limits   config.State
+}
+
+// takes tells whether a transaction is within the limits.
+func (s *modelStore) takes(txn protocol.Txn) bool {
+	for _, c := range txn.Then {
+		if len(c.Value)*5/4 > s.limits.ValueBytes() { // as JSON it is a little larger
+			return false
+		}
+	}
+	return len(txn.Then) <= s.limits.TxnOps && len(txn.If) <= 4*s.limits.TxnOps
+}
+
+// commit gives the keys that were not as expected, none if it was carried out.
+func (s *modelStore) commit(t *rapid.T, txn protocol.Txn) (uint64, []string) {
+	var failed []string
+	for _, c := range txn.If {
+		if s.items[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 0, failed
+	}
+	if !s.takes(txn) {
+		t.Fatalf("transaction of %d changes, %d conditions", len(txn.Then), len(txn.If))
+	}
+	s.revision++
+	for _, c := range txn.Then {
+		if c.Delete != "" {
+			delete(s.items, c.Delete)
+		} else {
+			s.items[c.Set] = protocol.Item{Key: c.Set, Value: c.Value, Version: s.revision}
+		}
+	}
+	return s.revision, nil
+}
+
+// arrive has another controller accept a job, a new one or one that the leader
+// has too: at once, or with a transaction that is held back.
+func (m *model) arrive() {
+	var spec protocol.JobSpec
+	switch {
+	case len(m.specs) > 0 && rapid.Bool().Draw(m.t, "a repeat"):
+		spec = rapid.SampledFrom(m.specs).Draw(m.t, "arrival")
+	case len(m.jobs) < 6:
+		spec = m.draw()
+	default:
+		return
+	}
+	m.arrivals = append(m.arrivals, bookkeeping.ArrivalTxn(bookkeeping.Arrival{
+		Spec:      spec,
+		Submitted: m.clock.now,
+	}))
+	if rapid.Bool().Draw(m.t, "accepted at once") {
+		m.land()
+	}
+}
+
+// land carries out the arrivals on their way.
+func (m *model) land() {
+	for _, txn := range m.arrivals {
+		m.store.commit(m.t, txn)
+	}
+	m.arrivals = nil
+}
+
+// inbox lists what no leader has taken in.
+func (m *model) inbox() []protocol.Item {
+	var items []protocol.Item
+	for _, key := range slices.Sorted(maps.Keys(m.store.items)) {
+		if strings.HasPrefix(key, bookkeeping.PrefixInbox) {
+			items = append(items, m.store.items[key])
+		}
+	}
+	return items
+}
+
+// collect has the leader take the inbox in.
+func (m *model) collect() {
+	for _, item := range m.inbox() {
+		a, err := bookkeeping.ParseArrival(item)
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		if _, over := m.leader.finals.get(a.Spec.ID); over {
+			delete(m.store.items, item.Key)
+			continue
+		}
+		m.leader.ledger.TakeIn(a, m.clock.now)
+	}
+}
+
+// write sends the leader's next save, or completes the one on its way.
+func (m *model) write() {
+	l := m.leader.ledger
+	if m.save == nil {
+		m.saveNew = m.leader.Format.Level() >= bookkeeping.FormatNew
+		l.UpgradeFormat(m.leader.Format.Level(), m.clock.now)
+		m.save = l.BuildSave(m.leader.saveID(), m.leader.bucketVersions, bookkeeping.SaveLimits{
+			Lazy:  units.Second,
+			Tasks: true,
+		}, m.clock.now)
+		return
+	}
+	if !m.store.takes(m.save.Txn) {
+		// Only what was built before the leader heard that all are upgraded.
+		l.ApplyNextLimits()
+		if m.saveNew {
+			m.t.Fatalf("a save in the new form is over the limits: %d changes", len(m.save.Txn.Then))
+		}
+		l.Rejected(m.save, m.clock.now)
+		m.save = nil
+		return
+	}
+	rev, failed := m.store.commit(m.t, m.save.Txn)
+	if len(failed) > 0 {
+		l.Refused(m.save, m.clock.now)
+		for _, key := range failed {
+			id, final := bookkeeping.JobOfFinal(key)
+			if !final || m.finals[id] == "" {
+				m.t.Fatalf("a leader's own save met a conflict: %v", failed)
+			}
+			m.leader.finals.put(id, bookkeeping.Final{Stage: m.finals[id]})
+			l.Drop(id) // it was in the inbox still
+		}
+		m.save = nil
+		return
+	}
+	if m.save.Probe() != "" {
+		m.repeats = append(m.repeats, m.save.Txn)
+	}
+	for id, f := range l.Applied(m.save, rev) {
+		m.over(id, f)
+	}
+	m.save = nil
+}
+
+// repeat carries a transaction out late, once more: its first sending had no answer,
+// and newer ones came between. It must have no effect.
+func (m *model) repeat() {
+	if len(m.repeats) == 0 {
+		return
+	}
+	txn := rapid.SampledFrom(m.repeats).Draw(m.t, "carried out late")
+	if !m.store.takes(txn) {
+		return
+	}
+	if _, failed := m.store.commit(m.t, txn); len(failed) == 0 {
+		m.t.Fatal("a transaction was carried out twice")
+	}
+}
+
+func (m *model) over(id string, f bookkeeping.Final) {
+	m.finals[id] = f.Stage
+	if m.confirmed[id] != 0 && f.Stage != protocol.StageCancelled {
+		m.t.Fatalf("%s was called cancelled, and is now %s", id, f.Stage)
+	}
+	if m.services[id] && f.Stage != protocol.StageCancelled {
+		m.t.Fatalf("the service %s is called %s", id, f.Stage)
+	}
+	if f.Stage != protocol.StageDone {
+		return
+	}
+	for i := range m.jobs[id] {
+		if !m.completed[taskKey{id, i}] {
+			m.t.Fatalf("%s is called done without task %d", id, i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/model_worker_test.go
@@ -0,0 +1,301 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+type modelTask struct {
+	attempt uint64
+	stage   protocol.TaskStage
+	cause   protocol.Cause
+}
+
+type taskKey struct {
+	job   string
+	index int
+}
+
+type modelWorker struct {
+	id            string
+	alive         bool
+	session, seq  uint64
+	token         uint64
+	leaseFrom     units.Micros
+	tasks         map[taskKey]modelTask
+	awaited       bool // a report is in flight
+	sentAt        units.Micros
+	answer        *protocol.ReportAnswer // on its way
+	reportSession uint64
+	answersLost   bool // its reports arrive, answers do not reach it
+	reportsLost   bool // it reaches no controller; direct commands reach it
+	hungUntil     units.Micros
+}
+
+func (m *model) hung(w *modelWorker) bool { return m.clock.now < w.hungUntil }
+
+// told is a worker's answer to an announcement, on its way.
+type told struct {
+	to     *Term
+	report *protocol.Report
+}
+
+func (m *model) report() {
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && !w.awaited && !w.reportsLost && !m.hung(w) {
+		m.reportOf(w)
+	}
+}
+
+// report makes a worker's report of now.
+func (w *modelWorker) report() *protocol.Report {
+	w.seq++
+	r := &protocol.Report{
+		Machine: w.id,
+		Type:    "m",
+		Zone:    "a",
+		Spot:    true,
+		Session: w.session,
+		Seq:     w.seq,
+		Term:    w.token,
+	}
+	keys := slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index })
+	for _, k := range keys {
+		task := w.tasks[k]
+		r.Tasks = append(r.Tasks, protocol.TaskReport{
+			Job:     k.job,
+			Index:   k.index,
+			Attempt: task.attempt,
+			Stage:   task.stage,
+			Cause:   task.cause,
+		})
+	}
+	return r
+}
+
+func (m *model) reportOf(w *modelWorker) {
+	r := w.report()
+	w.awaited, w.sentAt, w.reportSession, w.answer = true, m.clock.now, w.session, nil
+	if !m.calm && rapid.IntRange(0, 5).Draw(m.t, "report copied") == 0 {
+		m.held = append(m.held, r) // the copy comes at any later time
+	}
+	if !m.calm && rapid.IntRange(0, 4).Draw(m.t, "report held back") == 0 {
+		m.held = append(m.held, r)
+		return
+	}
+	w.answer = m.serve(r)
+}
+
+func (m *model) serve(r *protocol.Report) *protocol.ReportAnswer {
+	t, now := m.leader, m.clock.now
+	machine := t.observe(r, now)
+	if machine == nil {
+		return nil
+	}
+	t.expire(now)
+	t.round(now, machine)
+	return &protocol.ReportAnswer{Term: t.number, Commands: t.commands(machine, r, now)}
+}
+
+// late brings the leader a report that was held back. Nobody waits for the
+// answer any more.
+func (m *model) late() {
+	if len(m.held) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.held)-1).Draw(m.t, "held report")
+	r := m.held[i]
+	for _, w := range m.workers {
+		if w.id == r.Machine && w.awaited && w.seq == r.Seq && w.session == r.Session {
+			return // it still waits
+		}
+	}
+	m.held = slices.Delete(m.held, i, i+1)
+	m.serve(r)
+}
+
+// deliver brings a worker the answer it waits for, or lets it give up.
+func (m *model) deliver() {
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); w.alive && w.awaited && !m.hung(w) {
+		m.deliverTo(w)
+	}
+}
+
+func (m *model) deliverTo(w *modelWorker) {
+	lost := w.answersLost || !m.calm && rapid.IntRange(0, 5).Draw(m.t, "answer lost") == 0
+	a := w.answer
+	w.awaited, w.answer = false, nil
+	if lost || a == nil || m.clock.now-w.sentAt > workerWaits || a.Term < w.token || w.reportSession != w.session {
+		return
+	}
+	w.token, w.leaseFrom = a.Term, w.sentAt
+	for _, c := range a.Commands {
+		m.execute(w, c)
+	}
+}
+
+func (m *model) execute(w *modelWorker, c protocol.Command) {
+	var k taskKey
+	if _, err := fmt.Sscanf(c.Task, "j-%06d/%d", new(int), &k.index); err != nil {
+		m.t.Fatalf("command names %q", c.Task)
+	}
+	k.job = c.Task[:8]
+	task, here := w.tasks[k]
+	switch c.Verb {
+	case protocol.Start:
+		if here && (task.attempt == c.Attempt || task.stage != protocol.TaskExited) {
+			return
+		}
+		for _, o := range m.workers {
+			if other, ok := o.tasks[k]; ok && o != w && o.alive && other.stage != protocol.TaskExited {
+				m.t.Fatalf("%s starts on %s while it is on %s", c.Task, w.id, o.id)
+			}
+		}
+		if m.finals[k.job] != "" {
+			m.t.Fatalf("%s starts though its job is over", c.Task)
+		}
+		w.tasks[k] = modelTask{attempt: c.Attempt, stage: protocol.TaskRunning}
+	case protocol.Stop:
+		if here && task.attempt == c.Attempt && task.stage != protocol.TaskExited {
+			w.tasks[k] = modelTask{c.Attempt, protocol.TaskExited, protocol.CauseStopped}
+		}
+	case protocol.Forget:
+		if here && task.attempt == c.Attempt && task.stage == protocol.TaskExited {
+			delete(w.tasks, k)
+		}
+	}
+}
+
+func (m *model) work() {
+	if w := rapid.SampledFrom(m.workers).Draw(m.t, "worker"); !m.hung(w) {
+		m.workOn(w)
+	}
+}
+
+func (m *model) workOn(w *modelWorker) {
+	for _, k := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index }) {
+		task := w.tasks[k]
+		if task.stage != protocol.TaskRunning || m.calm && m.services[k.job] {
+			continue
+		}
+		task.stage = protocol.TaskExited
+		if task.cause = protocol.CauseError; m.calm || rapid.IntRange(0, 7).Draw(m.t, "fails") > 0 {
+			task.cause = protocol.CauseDone
+			m.completed[k] = !m.services[k.job]
+		}
+		w.tasks[k] = task
+		return
+	}
+}
+
+// leaseOf lets a worker begin its next session when its lease has run out.
+func (m *model) leaseOf(w *modelWorker) {
+	if w.alive && !m.hung(w) && m.clock.now-w.leaseFrom > modelLease {
+		w.session++
+		w.leaseFrom = m.clock.now
+		clear(w.tasks)
+	}
+}
+
+// release returns a machine to the cloud; by its answer the machine is gone.
+func (m *model) release() {
+	m.releaseWorker(rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "released"))
+}
+
+func (m *model) releaseWorker(i int) {
+	w := m.workers[i]
+	w.alive = false
+	t, now := m.leader, m.clock.now
+	t.markReleased(w.id, now)
+	if machine := t.ledger.Machines[w.id]; machine != nil {
+		t.ledger.Remove(machine, now)
+	} else {
+		t.ledger.Confirm(w.id)
+	}
+	m.workers[i] = m.newWorker()
+}
+
+func (m *model) newWorker() *modelWorker {
+	id := fmt.Sprintf("i-%06d", m.store.revision*10+uint64(len(m.workers)))
+	m.store.revision++
+	return &modelWorker{
+		id:        id,
+		alive:     true,
+		session:   1,
+		leaseFrom: m.clock.now,
+		tasks:     map[taskKey]modelTask{},
+	}
+}
+
+// announce tells a worker the term; its answer may come late.
+func (m *model) announce() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if !w.alive || w.answersLost || m.hung(w) {
+		return
+	}
+	w.token = m.leader.number
+	m.leader.ledger.Machine(w.id, "m", "a", true, m.clock.now)
+	m.told = append(m.told, told{m.leader, w.report()})
+	if rapid.Bool().Draw(m.t, "answered at once") {
+		m.hearTold()
+	}
+}
+
+// hearTold brings the leader the answers to its announcements.
+func (m *model) hearTold() {
+	for _, a := range m.told {
+		if a.to == m.leader {
+			a.to.announced(a.report)
+		}
+	}
+	m.told = nil
+}
+
+// loseAnswers cuts a worker off from answers, or ends that.
+func (m *model) loseAnswers() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	w.answersLost = !w.answersLost
+}
+
+// loseReports keeps a worker's reports from all controllers, or ends that.
+func (m *model) loseReports() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	w.reportsLost = !w.reportsLost
+}
+
+// hang stops a worker for a while, and cancels a job that runs there.
+func (m *model) hang() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	w.hungUntil = m.clock.now + units.Micros(rapid.IntRange(500, 15000).Draw(m.t, "hangs ms"))*units.Millisecond
+	m.cancelOn(w)
+}
+
+// cancelAtEnd cancels a job at the moment at which a task of it may end.
+func (m *model) cancelAtEnd() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if m.hung(w) {
+		return
+	}
+	if rapid.Bool().Draw(m.t, "ends before") {
+		m.workOn(w)
+		m.cancelOn(w)
+	} else {
+		m.cancelOn(w)
+		m.workOn(w)
+	}
+}
+
+// cancelOn cancels a job that a worker holds.
+func (m *model) cancelOn(w *modelWorker) {
+	for _, k := range slices.SortedFunc(maps.Keys(w.tasks), func(a, b taskKey) int { return len(a.job) - len(b.job) + a.index - b.index }) {
+		if j := m.leader.ledger.Jobs[k.job]; j != nil && j.Accepted() && m.jobs[k.job]%2 == 0 {
+			m.leader.cancelJob(j)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/unconfirmed_test.go
@@ -0,0 +1,72 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// While machines are unconfirmed, a leader's regular look at the fleet costs no
+// more for all that the records name: it once gathered every name of every job
+// each time, 40 times a second, when a term begins and there is most to do.
+func TestUnconfirmedMachinesCostNothing(t *testing.T) {
+	allocs := func(jobs, machines int) float64 {
+		term, clock := guardTerm(t, 1)
+		for i := range jobs {
+			j := term.ledger.NewJob(*modelSpec(fmt.Sprintf("j-%06d", i+2)), clock.now, clock.now)
+			for k := range machines {
+				term.ledger.MarkUnconfirmed(j, fmt.Sprintf("i-%06d", k))
+			}
+		}
+		return testing.AllocsPerRun(20, func() { term.expire(clock.now) })
+	}
+	if few, many := allocs(2, 10), allocs(100, 1000); many > few+1 {
+		t.Errorf("%v allocations for 100 jobs on 1,000 machines, %v for 2 on 10", many, few)
+	}
+}
+
+// Each machine that is confirmed is struck off the jobs that name it and no others;
+// the last one leaves nothing unconfirmed, whatever became of the jobs meanwhile.
+func TestUnconfirmedEndsWithMachinesAndJobs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		term, clock := guardTerm(t, 1)
+		l := term.ledger
+		named := map[string]map[string]bool{}
+		for i := range rapid.IntRange(1, 8).Draw(rt, "jobs") {
+			spec := *modelSpec(fmt.Sprintf("j-%06d", i+2))
+			j := l.NewJob(spec, clock.now, clock.now)
+			for _, k := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 12).Draw(rt, "machines") {
+				l.MarkUnconfirmed(j, fmt.Sprintf("i-%06d", k))
+			}
+			named[spec.ID] = j.Unconfirmed
+		}
+		for _, k := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}).Draw(rt, "order") {
+			id := fmt.Sprintf("i-%06d", k)
+			want := 0
+			for _, j := range l.Jobs {
+				if len(j.Unconfirmed) > 0 {
+					want++
+				}
+			}
+			got := 0
+			for range l.UnconfirmedJobs() {
+				got++
+			}
+			if got != want {
+				rt.Fatalf("%d jobs unconfirmed, %d name machines", got, want)
+			}
+			if jobs := sortedKeys(named); len(jobs) > 0 && rapid.Bool().Draw(rt, "a job ends first") {
+				l.Drop(jobs[0])
+				delete(named, jobs[0])
+			}
+			l.Confirm(id)
+			if l.IsUnconfirmed(id) {
+				rt.Fatal("a confirmed machine is unconfirmed")
+			}
+		}
+		if l.UnconfirmedCount() != 0 || len(l.UnconfirmedMachines()) != 0 {
+			rt.Fatalf("still unconfirmed: %v", l.UnconfirmedMachines())
+		}
+	})
+}
