--- a/internal/coordination/delivery_test.go
+++ b/internal/coordination/delivery_test.go
@@ -126,7 +126,7 @@
 	// Of one that was released in this term, however late.
 	term.observe(testReport("i-000002", 1, 1, 7), clock.now)
 	term.ledger.Remove(term.ledger.Machines["i-000002"], clock.now)
-	term.markReleased("i-000002", clock.now)
+	term.released.add("i-000002", clock.now)
 	clock.now += 600 * units.Second
 	if m := term.observe(testReport("i-000002", 1, 9, 7), clock.now); m != nil || term.ledger.Machines["i-000002"] != nil {
 		t.Error("a released machine is back")
--- a/internal/coordination/model_worker_test.go
+++ b/internal/coordination/model_worker_test.go
@@ -211,7 +211,7 @@
 	w := m.workers[i]
 	w.alive = false
 	t, now := m.leader, m.clock.now
-	t.markReleased(w.id, now)
+	t.released.add(w.id, now)
 	if machine := t.ledger.Machines[w.id]; machine != nil {
 		t.ledger.Remove(machine, now)
 	} else {
--- a/internal/coordination/provisioning.go
+++ b/internal/coordination/provisioning.go
@@ -43,9 +43,8 @@
 	bootLimit    = 6 // boot times until it is given up
 	// A worker that looks for a new leader tries the next node after 1 s, and
 	// waits 4 s on each that does not answer.
-	searchStart         = 2500 * units.Millisecond
-	searchNode          = 5 * units.Second
-	maxReleasedMachines = 8192 // names of released machines kept: their reports may still come
+	searchStart = 2500 * units.Millisecond
+	searchNode  = 5 * units.Second
 )
 
 // cloudLoop keeps the rented machines as wanted.
@@ -79,7 +78,7 @@
 	present := make(map[string]bool, len(listed))
 	for _, l := range listed {
 		present[l.ID] = true
-		if _, gone := t.releasedMachines[l.ID]; gone {
+		if t.released.has(l.ID) {
 			continue
 		}
 		_, known := t.ledger.Machines[l.ID]
@@ -224,7 +223,7 @@
 		delete(t.provisioning.refused, kind)
 	}
 	for _, id := range names {
-		if _, gone := t.releasedMachines[id]; !gone {
+		if !t.released.has(id) {
 			m := t.ledger.Machine(id, r.Type, r.Zone, r.Spot, now)
 			if m.Stage == "" {
 				m.Stage = protocol.MachineBooting
--- a/internal/coordination/release.go
+++ b/internal/coordination/release.go
@@ -32,7 +32,7 @@
 		t.mu.Lock()
 		now := t.Clock.Steady()
 		for _, id := range names[:n] {
-			t.markReleased(id, now)
+			t.released.add(id, now)
 			if m := t.ledger.Machines[id]; m != nil {
 				t.remove(m, now)
 			} else {
@@ -46,22 +46,6 @@
 	}
 }
 
-// markReleased remembers a machine that is gone. It may still be listed for a while,
-// and copies of its reports may come at any time in this term: they must not
-// bring it back with room for work.
-func (t *Term) markReleased(id string, now units.Micros) {
-	if len(t.releasedMachines) >= maxReleasedMachines {
-		oldest := id
-		for other, at := range t.releasedMachines {
-			if at < t.releasedMachines[oldest] || oldest == id {
-				oldest = other
-			}
-		}
-		delete(t.releasedMachines, oldest)
-	}
-	t.releasedMachines[id] = now
-}
-
 // unwanted chooses the machines to be released. A machine once chosen gets no
 // work and stays chosen, since a release that got no answer may be carried
 // out at any time.
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -107,7 +107,7 @@
 // the ledger says of it. Old reports, and those of machines that were
 // released, have no effect and give nil.
 func (t *Term) observe(r *protocol.Report, now units.Micros) *bookkeeping.Machine {
-	if _, gone := t.releasedMachines[r.Machine]; gone {
+	if t.released.has(r.Machine) {
 		return nil
 	}
 	m := t.ledger.Machine(r.Machine, r.Type, r.Zone, r.Spot, now)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -57,7 +57,7 @@
 	lastTimeoutCheck  units.Micros
 	unreached         int          // the most controllers out of reach at a time in this term
 	silenceCountsFrom units.Micros // this node was late itself: until then no machine's silence is judged
-	releasedMachines  map[string]units.Micros
+	released          releasedMachines
 	headroom          map[*bookkeeping.Machine]units.Resources // room that the last round kept for replicas
 	directRequests    map[string]*directRequest                // machines that are told something before their next report
 	saving            int
@@ -74,23 +74,23 @@
 func NewTerm(number uint64, deps Deps) *Term {
 	deps.Log = deps.Log.With("term", number)
 	return &Term{
-		Deps:             deps,
-		number:           number,
-		traces:           deps.Log.Enabled(context.Background(), slog.LevelDebug),
-		claimedAt:        deps.Clock.Steady(),
-		lastWork:         deps.Clock.Steady(),
-		ledger:           bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State),
-		bucketVersions:   make([]uint64, bookkeeping.Buckets),
-		restored:         make(chan struct{}),
-		finals:           newFinalCache(4096),
-		releasedMachines: map[string]units.Micros{},
-		directRequests:   map[string]*directRequest{},
-		headroom:         map[*bookkeeping.Machine]units.Resources{},
-		provisioning:     newProvisioningState(),
-		reservedFor:      map[*bookkeeping.Machine]*bookkeeping.Job{},
-		saveSignal:       make(chan struct{}, 1),
-		roundSignal:      make(chan struct{}, 1),
-		directSignal:     make(chan struct{}, 1),
+		Deps:           deps,
+		number:         number,
+		traces:         deps.Log.Enabled(context.Background(), slog.LevelDebug),
+		claimedAt:      deps.Clock.Steady(),
+		lastWork:       deps.Clock.Steady(),
+		ledger:         bookkeeping.NewLedger(deps.Settings.Fleet.Teams, deps.Settings.Fleet.State),
+		bucketVersions: make([]uint64, bookkeeping.Buckets),
+		restored:       make(chan struct{}),
+		finals:         newFinalCache(4096),
+		released:       releasedMachines{},
+		directRequests: map[string]*directRequest{},
+		headroom:       map[*bookkeeping.Machine]units.Resources{},
+		provisioning:   newProvisioningState(),
+		reservedFor:    map[*bookkeeping.Machine]*bookkeeping.Job{},
+		saveSignal:     make(chan struct{}, 1),
+		roundSignal:    make(chan struct{}, 1),
+		directSignal:   make(chan struct{}, 1),
 	}
 }
 
