--- a/cmd/dunestand/main.go
+++ b/cmd/dunestand/main.go
@@ -166,14 +166,18 @@
 	return node.New(s, node.Deps{Log: log, Policy: policy}).Run(ctx)
 }
 
-// gcPercent trades memory, of which there is plenty below the limit, for the
-// collector's time.
-const gcPercent = 300
+// Pace of the garbage collector. What is live is a few MB, and a collection delays
+// everything else on a small share of a core: so the heap may grow to many times that.
+// The limit, a share of the machine's memory, has it collect in time.
+const (
+	gcPercent   = 1000
+	memoryShare = 0.7
+)
 
 // limitProcess fits the runtime to the machine's share: one thread of Go code
 // for a share of one core, and a collector that works harder near the limit.
 func limitProcess(r config.Resources) {
 	runtime.GOMAXPROCS(max(1, int(r.CoreShare+0.99)))
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(r.RAMMB * 0.7 * (1 << 20)))
+	debug.SetMemoryLimit(int64(r.RAMMB * memoryShare * (1 << 20)))
 }
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -121,37 +121,45 @@
 	}
 }
 
+// jobViews are all jobs of known teams as a round sees them, whether they wait or not.
+type jobViews map[*bookkeeping.Job]*JobView
+
+// snapshot takes down what a round decides on. answering is the machine whose report is
+// being answered, nil if none is.
 func (t *Term) snapshot(now units.Micros, answering *bookkeeping.Machine) (Snapshot, *snapshotRefs) {
 	var s Snapshot
 	refs := new(snapshotRefs)
 	t.completions.pass(now)
 	teams := t.teamViews(&s)
+	views := t.snapshotJobs(&s, refs, teams, now)
+	t.snapshotMachines(&s, refs, teams, views, now, answering)
+	t.updateHeadroom(&s, refs.machines)
 	waiting := 0
+	for k := range s.Jobs {
+		waiting += s.Jobs[k].Pending
+	}
+	s.Batch = min(batchBase+waiting/8, batchMost)
+	return s, refs
+}
+
+// snapshotJobs adds the jobs that wait and may be placed, and notes the queue of all that
+// wait.
+func (t *Term) snapshotJobs(s *Snapshot, refs *snapshotRefs, teams map[string]int, now units.Micros) jobViews {
+	jobs := t.jobsInOrder()
+	s.Jobs = make([]JobView, 0, len(jobs))
+	refs.jobs = make([]*bookkeeping.Job, 0, len(jobs))
+	views := make(jobViews, len(jobs))
 	committed := make([]units.Resources, len(s.Teams))
-	views := make(map[*bookkeeping.Job]*JobView, len(t.ledger.Jobs))
 	t.queue = t.queue[:0]
-	services := false
-	for _, j := range t.jobsInOrder() {
+	for _, j := range jobs {
 		team, ok := teams[j.Spec.Team]
 		if !ok {
 			continue
 		}
 		committed[team] = committed[team].Plus(j.Spec.Need, j.Spec.Tasks)
-		g := s.Teams[team].Guarantee
-		in := t.rankInput(j)
-		view := &JobView{
-			Spec:       &j.Spec,
-			Team:       team,
-			Order:      int64(j.Submitted),
-			Pending:    j.Pending(),
-			Live:       len(j.Live),
-			Guaranteed: committed[team].CPU <= g.CPU && committed[team].GPU <= g.GPU,
-			Patient:    t.patient(j, now),
-			Late:       in.Late,
-			Rank:       t.Policy.Rank(in),
-			Overdue:    t.overdue(j) && len(j.Live) == 0,
-		}
-		view.Avoid = func(m string) bool { return j.ErrorsOn[m] && len(j.ErrorsOn) < 3 || !j.CanName(m) }
+		guarantee := s.Teams[team].Guarantee
+		guaranteed := committed[team].CPU <= guarantee.CPU && committed[team].GPU <= guarantee.GPU
+		view := t.jobView(j, team, guaranteed, now)
 		views[j] = view
 		if j.Cancelled || !j.Accepted() {
 			continue
@@ -161,15 +169,39 @@
 			continue
 		}
 		t.spread(view, j)
-		if view.LiveOn != nil {
-			services = true
-		}
-		waiting += view.Pending
 		s.Jobs = append(s.Jobs, *view)
 		refs.jobs = append(refs.jobs, j)
 	}
 	slices.SortFunc(t.queue, func(a, b queued) int { return compareJobs(&a.view, &b.view) })
-	for _, m := range t.ledger.Ordered() {
+	return views
+}
+
+func (t *Term) jobView(j *bookkeeping.Job, team int, guaranteed bool, now units.Micros) *JobView {
+	in := t.rankInput(j)
+	return &JobView{
+		Spec:       &j.Spec,
+		Team:       team,
+		Order:      int64(j.Submitted),
+		Pending:    j.Pending(),
+		Live:       len(j.Live),
+		Guaranteed: guaranteed,
+		Patient:    t.patient(j, now),
+		Late:       in.Late,
+		Rank:       t.Policy.Rank(in),
+		Overdue:    t.overdue(j) && len(j.Live) == 0,
+		Avoid: func(machine string) bool {
+			return j.ErrorsOn[machine] && len(j.ErrorsOn) < 3 || !j.CanName(machine)
+		},
+	}
+}
+
+// snapshotMachines adds the machines that have reported, and what of services is on each.
+func (t *Term) snapshotMachines(s *Snapshot, refs *snapshotRefs, teams map[string]int, views jobViews, now units.Micros, answering *bookkeeping.Machine) {
+	machines := t.ledger.Ordered()
+	s.Machines = make([]MachineView, 0, len(machines))
+	refs.machines = make([]*bookkeeping.Machine, 0, len(machines))
+	services := slices.ContainsFunc(s.Jobs, func(view JobView) bool { return view.LiveOn != nil })
+	for _, m := range machines {
 		if !m.Seen {
 			continue
 		}
@@ -188,13 +220,10 @@
 		s.Machines = append(s.Machines, view)
 		refs.machines = append(refs.machines, m)
 	}
-	t.updateHeadroom(&s, refs.machines)
-	s.Batch = min(batchBase+waiting/8, batchMost)
-	return s, refs
 }
 
 // victims lists the tasks on a machine that could be stopped.
-func (t *Term) victims(m *bookkeeping.Machine, teams map[string]int, views map[*bookkeeping.Job]*JobView, refs *snapshotRefs, now units.Micros) []Victim {
+func (t *Term) victims(m *bookkeeping.Machine, teams map[string]int, views jobViews, refs *snapshotRefs, now units.Micros) []Victim {
 	out := make([]Victim, 0, len(m.Attempts))
 	for _, a := range m.Sorted() {
 		team, ok := teams[a.Job.Spec.Team]
