Give a request its own deadline once it has been read

With one deadline for idle time and answer, a request that came late in the idle time lost its answer. Found by reading; a test fails without the second deadline.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -73,9 +73,7 @@
 
 // serveRequest answers one request and tells whether the connection goes on.
 func (c *connection) serveRequest(ctx context.Context) bool {
-	// A single deadline covers the answer to the request before and the time until
-	// this one has been read: both are short next to the time a client may be idle.
-	if err := c.conn.SetDeadline(time.Now().Add(c.idle)); err != nil {
+	if err := c.extendDeadline(); err != nil {
 		return false
 	}
 	c.input.N = maxHeader
@@ -89,6 +87,9 @@
 		return false
 	}
 	c.input.N = maxBodyInput
+	if err := c.extendDeadline(); err != nil {
+		return false
+	}
 	if !c.confirmExpectation(request) {
 		return false
 	}
@@ -113,6 +114,12 @@
 	return !last && body.ended
 }
 
+// extendDeadline gives the client's next step, and the answer to it, as much time as a
+// client may be idle.
+func (c *connection) extendDeadline() error {
+	return c.conn.SetDeadline(time.Now().Add(c.idle))
+}
+
 // confirmExpectation tells a client that waits for it to send the body.
 func (c *connection) confirmExpectation(request *http.Request) bool {
 	if !strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
--- a/internal/transport/connection_test.go
+++ b/internal/transport/connection_test.go
@@ -113,6 +113,32 @@
 	}
 }
 
+// A request that comes when its client has been idle for nearly too long is answered,
+// though its handler takes a while.
+func TestLateRequestIsAnswered(t *testing.T) {
+	const idle = 400 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(10, units.Micros(idle/time.Microsecond), slog.New(slog.DiscardHandler))
+	server.Handle(http.MethodGet, "/slow", func(context.Context, Request) Response {
+		time.Sleep(idle / 2)
+		return Response{Status: http.StatusOK}
+	})
+	go func() { _ = server.Serve(t.Context(), l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(idle * 3 / 4)
+	_, _ = io.WriteString(conn, "GET /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	if responses := readResponses(t, conn); len(responses) != 1 || responses[0].StatusCode != http.StatusOK {
+		t.Errorf("not answered: %v", responses)
+	}
+}
+
 func TestHandlerFailureEndsOneConnection(t *testing.T) {
 	addr := serve(t, 10, func(_ context.Context, r Request) Response {
 		if string(r.Body) == "fail" {
