--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -299,8 +299,8 @@
 		}
 		m.begin()
 		actions := []func(){m.submit, m.report, m.report, m.report, m.deliver, m.deliver, m.deliver, m.work, m.work,
-			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.loseAnswers, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall, m.loseReports, m.hang, m.cancelAtEnd, m.repeat}
-		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22, 23, 23, 23, 23, 23, 23, 24, 24, 24, 25, 26, 26, 27, 27, 28, 28, 29}
+			m.write, m.write, m.write, m.pass, m.crash, m.cancel, m.release, m.late, m.loseAnswers, m.announce, m.hearTold, m.arrive, m.land, m.collect, m.upgrade, m.raise, m.fall, m.loseReports, m.hang, m.cancelAtEnd, m.repeat, m.absence, m.lateAnswer}
+		weights := []int{0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 12, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 1, 4, 2, 5, 3, 6, 13, 13, 14, 15, 16, 16, 17, 18, 18, 19, 20, 21, 22, 22, 23, 23, 23, 23, 23, 23, 24, 24, 24, 25, 26, 26, 27, 27, 28, 28, 29, 30, 30, 30, 30, 31, 31, 31}
 		for range rapid.IntRange(50, 250).Draw(t, "steps") {
 			actions[rapid.SampledFrom(weights).Draw(t, "action")]()
 			m.check()
--- a/internal/coordination/model_worker_test.go
+++ b/internal/coordination/model_worker_test.go
@@ -299,3 +299,71 @@
 		}
 	}
 }
+
+// absence keeps a worker that has just been answered from every controller for a part of
+// its lease, while everything else goes on; on some days under a new leader. What a leader
+// gives up too soon begins elsewhere meanwhile.
+func (m *model) absence() {
+	absent := rapid.SampledFrom(m.workers).Draw(m.t, "absent worker")
+	if !m.undisturbed(absent) {
+		return
+	}
+	m.ask(absent)
+	m.deliverTo(absent)
+	if rapid.Bool().Draw(m.t, "a new leader") {
+		m.crash()
+	}
+	m.goOnWithout(absent, modelLease.Share(rapid.Int64Range(50, 95).Draw(m.t, "share of the lease"), 100))
+}
+
+// lateAnswer has a leader end while its answer is on its way to a worker. The next leader
+// gets a copy of an older report of that worker, and everything else goes on; then the
+// answer arrives.
+func (m *model) lateAnswer() {
+	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if !m.undisturbed(w) {
+		return
+	}
+	copied := w.report()
+	m.write() // the names that starts wait for
+	m.write()
+	m.ask(w)
+	m.crash()
+	m.serve(copied)
+	m.goOnWithout(w, workerWaits-units.Second)
+	m.deliverTo(w)
+}
+
+// undisturbed tells whether a worker is neither waiting for an answer nor in any trouble.
+func (m *model) undisturbed(w *modelWorker) bool {
+	return w.alive && !w.awaited && !w.answersLost && !w.reportsLost && !m.hung(w)
+}
+
+// ask has a worker report to the leader at once; the answer is on its way.
+func (m *model) ask(w *modelWorker) {
+	w.awaited, w.sentAt, w.reportSession = true, m.clock.now, w.session
+	w.answer = m.serve(w.report())
+}
+
+// goOnWithout lets a time pass in which all but one worker report and are answered.
+func (m *model) goOnWithout(absent *modelWorker, length units.Micros) {
+	const step = 500 * units.Millisecond
+	for ends := m.clock.now + length; m.clock.now < ends; {
+		m.clock.now += step
+		m.write()
+		m.write()
+		m.leader.expire(m.clock.now)
+		for _, w := range m.workers {
+			m.leaseOf(w)
+			if w == absent || !w.alive || w.reportsLost || m.hung(w) {
+				continue
+			}
+			if w.awaited {
+				m.deliverTo(w)
+			} else {
+				m.reportOf(w)
+			}
+			m.check()
+		}
+	}
+}
