--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -16,6 +17,7 @@
 	listeners map[string]*listener
 	conns     map[*pipe]bool
 	cut       map[[2]string]bool
+	delay     func(from, to string) <-chan time.Time
 }
 
 // NewNetwork makes a network on which nobody listens.
@@ -67,6 +69,77 @@
 	net.Conn
 	net      *Network
 	from, to string
+	transit  *transit // nil: nothing was ever held up
+}
+
+// Read implements net.Conn. What was sent may be held up on its way.
+func (p *pipe) Read(b []byte) (int, error) {
+	if p.transit == nil {
+		n, err := p.Conn.Read(b)
+		if err != nil || !p.net.delays() {
+			return n, err
+		}
+		p.transit = &transit{from: p, arrived: make(chan segment, transitSegments)}
+		p.transit.add(b[:n])
+		go p.transit.run()
+	}
+	return p.transit.Read(b)
+}
+
+// transit takes what is sent on a connection at once, as a network does, so that the
+// sender need not wait until it may be delivered.
+type transit struct {
+	from    *pipe
+	arrived chan segment
+	rest    []byte // of the segment that is being read
+	err     error
+}
+
+// segment is what was sent at a time, and what holds it up.
+type segment struct {
+	data []byte
+	held <-chan time.Time
+	err  error
+}
+
+const (
+	transitSegments = 4096
+	transitBuffer   = 64 << 10
+)
+
+func (t *transit) add(data []byte) {
+	t.arrived <- segment{data: bytes.Clone(data), held: t.from.net.delayOf(t.from)}
+}
+
+func (t *transit) run() {
+	buffer := make([]byte, transitBuffer)
+	for {
+		n, err := t.from.Conn.Read(buffer)
+		if n > 0 {
+			t.add(buffer[:n])
+		}
+		if err != nil {
+			t.arrived <- segment{err: err}
+			return
+		}
+	}
+}
+
+// Read gives what may be delivered.
+func (t *transit) Read(b []byte) (int, error) {
+	for len(t.rest) == 0 {
+		if t.err != nil {
+			return 0, t.err
+		}
+		next := <-t.arrived
+		if next.held != nil {
+			<-next.held
+		}
+		t.rest, t.err = next.data, next.err
+	}
+	n := copy(b, t.rest)
+	t.rest = t.rest[n:]
+	return n, nil
 }
 
 // Close implements net.Conn.
@@ -151,6 +224,31 @@
 	}
 }
 
+// Delay holds up what arrives at those who opened connections until the channel that
+// delay gives for a connection lets go; nil: not at all.
+func (n *Network) Delay(delay func(from, to string) <-chan time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+func (n *Network) delays() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay != nil
+}
+
+// delayOf gives what holds up the next segment of a connection; nil: nothing.
+func (n *Network) delayOf(p *pipe) <-chan time.Time {
+	n.mu.Lock()
+	delay := n.delay
+	n.mu.Unlock()
+	if delay == nil {
+		return nil
+	}
+	return delay(p.from, p.to)
+}
+
 // Close ends all connections and listeners.
 func (n *Network) Close() {
 	n.mu.Lock()
--- a/node/day_test.go
+++ b/node/day_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"sync"
@@ -42,8 +43,11 @@
 	stateSlow time.Duration
 	listSlow  time.Duration // for lists of keys alone
 	late      float64       // share of transactions that are carried out later, unanswered
-	cloudDown bool
-	users     int
+	// answerDelay is for how long an answer of the state service, to a request that was
+	// carried out, is held back; nil: not at all.
+	answerDelay func(node int, r *http.Request, body []byte) <-chan time.Time
+	cloudDown   bool
+	users       int
 }
 
 // controller is one node and what keeps it from the others.
@@ -75,6 +79,7 @@
 	cancel   time.Duration
 	report   time.Duration
 	memoryMB float64 // of a controller
+	nodes    int     // controllers
 	seed     uint64
 }
 
@@ -98,6 +103,9 @@
 		if p.memoryMB == 0 {
 			p.memoryMB = dayMemory
 		}
+		if p.nodes == 0 {
+			p.nodes = dayNodes
+		}
 		d := &day{
 			t:      t,
 			ctx:    ctx,
@@ -144,7 +152,7 @@
 			}
 			cloud.ServeHTTP(w, r)
 		}))
-		for i := range dayNodes {
+		for i := range p.nodes {
 			d.nodes = append(d.nodes, &controller{name: fmt.Sprintf("n-%d", i)})
 			d.serve(d.nodes[i].name+portState, d.stateFor(i))
 		}
@@ -209,6 +217,7 @@
 func (d *day) stateFor(node int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.mu.Lock()
+		answerDelay := d.answerDelay
 		refused, slow, lists := d.stateDown || d.nodes[node].refused, d.stateSlow, d.listSlow
 		late := r.URL.Path == protocol.PathCommit && d.random.Float64() < d.late
 		after := 2*time.Second + time.Duration(d.random.Int64N(int64(10*time.Second)))
@@ -228,11 +237,31 @@
 				slow += lists
 			}
 			time.Sleep(5*time.Millisecond + slow)
-			d.state.ServeHTTP(w, r)
+			if answerDelay == nil {
+				d.state.ServeHTTP(w, r)
+				return
+			}
+			d.serveStateLate(w, r, func(body []byte) <-chan time.Time { return answerDelay(node, r, body) })
 		}
 	})
 }
 
+// serveStateLate carries a request out at once and holds its answer back.
+func (d *day) serveStateLate(w http.ResponseWriter, r *http.Request, delay func(body []byte) <-chan time.Time) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	answer := httptest.NewRecorder()
+	d.state.ServeHTTP(answer, r)
+	if held := delay(body); held != nil {
+		select {
+		case <-held:
+		case <-d.ctx.Done():
+		}
+	}
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
 // start starts a controller.
 func (d *day) start(i int) {
 	name := func(k int, port string) string { return d.nodes[k].name + port }
