Give no answer about a job older than one that another controller may have given

Cause: a save that ends a job, or cancels it, is carried out before the leader hears of it. A controller that asks the records meanwhile told the user of the end (it reaches no leader, or waited 200 ms for it with a repeated submission), and the leader went on to call the job running. Second, any answer that is not final could be overtaken on its way: in the leader, on the mesh, in a read of the record.

Every answer about a job now carries its proof, and answerGate, passed by all of them, holds it against two times: not final, at most 0.5 s after its state was read; final, once its record has been durable for 0.9 s, which RevisionHistory tells from the state service's revisions. The leader says nothing of a job while a save of its end or cancellation is on its way.

Also closed: a submission that waited for its save while the job left the ledger. Ruled out: caches of what a node told, a longer lease, holding polls back.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -64,20 +64,23 @@
 	retry     []int
 	cursor    int
 	records
-	on           map[string]int // attempts by machine
-	stored       bool           // a record exists in the state service
-	arrived      bool           // it is in the inbox there, and to be taken out
-	saving       bool
-	alone        bool        // not to be saved together with others
-	unsaved      bitset      // done, but not yet durably
-	inSave       bitset      // done, and in the save on its way
-	short        map[int]int // of a service's replicas: runs in a row that ended soon
-	changed      bool        // something wants saving
-	urgent       bool        // and at once
-	changedSince units.Micros
-	saved        chan struct{}   // closed when the save that is due ends well
-	sending      chan struct{}   // closed when the save on its way ends well
-	waiting      []chan struct{} // likewise, from saves that were refused
+	on        map[string]int // attempts by machine
+	stored    bool           // a record exists in the state service
+	endInSave bool           // its end or cancellation is in the save on its way
+	// cancelVersion is a version of its record that told of the cancellation.
+	cancelVersion uint64
+	arrived       bool // it is in the inbox there, and to be taken out
+	saving        bool
+	alone         bool        // not to be saved together with others
+	unsaved       bitset      // done, but not yet durably
+	inSave        bitset      // done, and in the save on its way
+	short         map[int]int // of a service's replicas: runs in a row that ended soon
+	changed       bool        // something wants saving
+	urgent        bool        // and at once
+	changedSince  units.Micros
+	saved         chan struct{}   // closed when the save that is due ends well
+	sending       chan struct{}   // closed when the save on its way ends well
+	waiting       []chan struct{} // likewise, from saves that were refused
 }
 
 func newJob(spec protocol.JobSpec, submitted units.Micros, format int) *Job {
@@ -102,6 +105,14 @@
 // Accepted tells whether the job is durable.
 func (j *Job) Accepted() bool { return j.stored }
 
+// CancelVersion is a version of the job's record that tells of its cancellation, once
+// that is stored.
+func (j *Job) CancelVersion() uint64 { return j.cancelVersion }
+
+// EndBeingStored tells whether the job's end or cancellation is in a save whose outcome
+// is not known: other controllers may read it already.
+func (j *Job) EndBeingStored() bool { return j.endInSave }
+
 // DoneCount is the number of completed tasks.
 func (j *Job) DoneCount() int { return j.doneCount }
 
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -104,6 +104,12 @@
 	Save  string         `cbor:"save"`
 }
 
+// FinalRecord is a Final as it was read or stored.
+type FinalRecord struct {
+	Final
+	Version uint64
+}
+
 // Formats of a job's records. In the old one a single record names all
 // machines, and the pages of a large done set follow it. Controllers that know
 // no other may lead until the fleet's format is raised. In the new one every
@@ -322,7 +328,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		j.main.version, j.stored = row.Version, true
+		j.main.version, j.cancelVersion, j.stored = row.Version, row.Version, true
 		j.changed = j.Cancelled // its end may be due
 		j.restoreNames(j.main, r.Machines)
 		byKey[row.Key] = j
--- /dev/null
+++ b/internal/bookkeeping/revisions.go
@@ -0,0 +1,58 @@
+package bookkeeping
+
+import (
+	"sync"
+
+	"dunestand/internal/units"
+)
+
+// RevisionHistory remembers when this controller first knew of revisions of the state
+// service. Revisions count all changes there, so a record is at least as old as any
+// revision from its own version on. That tells for how long a record has surely been
+// durable, without comparing clocks of two machines, whoever wrote it.
+type RevisionHistory struct {
+	clock units.Clock
+	keep  units.Micros
+
+	mu   sync.Mutex
+	seen []revisionSeen // both fields rise
+}
+
+type revisionSeen struct {
+	revision uint64
+	at       units.Micros
+}
+
+// NewRevisionHistory makes a history that tells ages up to keep.
+func NewRevisionHistory(clock units.Clock, keep units.Micros) *RevisionHistory {
+	return &RevisionHistory{clock: clock, keep: keep}
+}
+
+// Observe notes that a revision exists.
+func (h *RevisionHistory) Observe(revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := len(h.seen); n > 0 && h.seen[n-1].revision >= revision {
+		return
+	}
+	now := h.clock.Steady()
+	h.seen = append(h.seen, revisionSeen{revision: revision, at: now})
+	// One observation as old as keep answers for all before it.
+	old := 0
+	for old+1 < len(h.seen) && now-h.seen[old+1].at >= h.keep {
+		old++
+	}
+	h.seen = append(h.seen[:0], h.seen[old:]...)
+}
+
+// Age is for how long a revision has surely existed, at least; 0 if it was never seen.
+func (h *RevisionHistory) Age(revision uint64) units.Micros {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.seen {
+		if s.revision >= revision {
+			return h.clock.Steady() - s.at
+		}
+	}
+	return 0
+}
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -346,6 +346,7 @@
 // be used any more, whether or not the save is carried out.
 func (j *Job) begin(part *savePart) {
 	j.saving = true
+	j.endInSave = part.final != nil || part.cancel && !j.CancelStored
 	if part.whole {
 		j.changed, j.urgent = false, false
 	}
@@ -400,12 +401,14 @@
 	finished := map[string]Final{}
 	for _, p := range s.parts {
 		j := p.job
-		j.saving, j.alone = false, false
+		j.saving, j.alone, j.endInSave = false, false, false
 		clear(j.inSave)
 		for _, w := range p.writes {
 			j.written(w, revision)
 		}
-		j.CancelStored = j.CancelStored || p.cancel && j.main.version == revision
+		if p.cancel && !j.CancelStored && j.main.version == revision {
+			j.CancelStored, j.cancelVersion = true, revision
+		}
 		if p.final != nil {
 			finished[j.Spec.ID] = *p.final
 			l.leave(j)
@@ -468,7 +471,7 @@
 	l.left = append(l.left, s.left...)
 	for _, p := range s.parts {
 		j := p.job
-		j.saving = false
+		j.saving, j.endInSave = false, false
 		j.unsaved.addAll(j.inSave)
 		clear(j.inSave)
 		for _, w := range p.writes {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -45,8 +45,13 @@
 	dial   transport.DialFunc
 	addr   string
 	Stats  *StoreStats
+	// Revisions tells for how long a record has been durable.
+	Revisions *RevisionHistory
 }
 
+// revisionsKept is how far back the ages of records are told apart.
+const revisionsKept = 2 * units.Second
+
 // StoreStats counts what was sent.
 type StoreStats struct{ Requests, Writes, Refused, Uncertain atomic.Uint64 }
 
@@ -90,15 +95,16 @@
 }
 
 // NewStore makes a client of the state service for one of several controllers.
-func NewStore(dial transport.DialFunc, addr string, limits config.State, others int) *Store {
+func NewStore(dial transport.DialFunc, addr string, limits config.State, others int, clock units.Clock) *Store {
 	b := &budget{limits: limits, others: others}
 	b.set()
 	return &Store{
-		client: transport.NewClient(dial, addr, 8, 4<<20),
-		dial:   dial,
-		addr:   addr,
-		Stats:  new(StoreStats),
-		budget: b,
+		client:    transport.NewClient(dial, addr, 8, 4<<20),
+		dial:      dial,
+		addr:      addr,
+		Stats:     new(StoreStats),
+		Revisions: NewRevisionHistory(clock, revisionsKept),
+		budget:    b,
 	}
 }
 
@@ -106,11 +112,12 @@
 // wait behind requests that hang.
 func (s *Store) Reserved() *Store {
 	return &Store{
-		client: transport.NewClient(s.dial, s.addr, 2, 1<<20),
-		dial:   s.dial,
-		addr:   s.addr,
-		Stats:  s.Stats,
-		budget: s.budget,
+		client:    transport.NewClient(s.dial, s.addr, 2, 1<<20),
+		dial:      s.dial,
+		addr:      s.addr,
+		Stats:     s.Stats,
+		Revisions: s.Revisions,
+		budget:    s.budget,
 	}
 }
 
@@ -142,6 +149,7 @@
 	case status == http.StatusNotFound:
 		return item, false, nil
 	}
+	s.Revisions.Observe(item.Version)
 	return item, true, nil
 }
 
@@ -156,6 +164,11 @@
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("listing %s: status %d", prefix, status)
 	}
+	newest := uint64(0)
+	for _, item := range list.Items {
+		newest = max(newest, item.Version)
+	}
+	s.Revisions.Observe(newest)
 	return list, err
 }
 
@@ -183,6 +196,7 @@
 	case status != http.StatusOK:
 		return 0, fmt.Errorf("commit: status %d", status)
 	}
+	s.Revisions.Observe(answer.Revision)
 	return answer.Revision, nil
 }
 
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -54,7 +54,7 @@
 	for i, o := range s.Others {
 		others[i] = o.Node
 	}
-	store := bookkeeping.NewStore(env.Dial, s.Services.State, s.Fleet.State, len(others))
+	store := bookkeeping.NewStore(env.Dial, s.Services.State, s.Fleet.State, len(others), clock)
 	format := NewFleetFormat(s.Node, others, store, log)
 	metrics := NewMetrics()
 	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), env.Random, log)
@@ -163,13 +163,13 @@
 		if r.TooLarge {
 			return Refuse(http.StatusBadRequest, "body over 64 KiB")
 		}
-		return c.submit(ctx, r.Body, true)
+		return c.gate().release(c.submit(ctx, r.Body, true))
 	})
 	s.Handle(http.MethodGet, protocol.PathPoll, func(ctx context.Context, r transport.Request) transport.Response {
-		return c.poll(ctx, r.ID, true)
+		return c.gate().release(c.poll(ctx, r.ID, true))
 	})
 	s.Handle(http.MethodPost, protocol.PathCancel, func(ctx context.Context, r transport.Request) transport.Response {
-		return c.cancel(ctx, r.ID, true)
+		return c.gate().release(c.cancel(ctx, r.ID, true))
 	})
 	s.Handle(http.MethodGet, protocol.PathHealth, func(context.Context, transport.Request) transport.Response {
 		return c.health()
@@ -209,13 +209,13 @@
 	}
 	switch since := units.Micros(c.bypassed.Load()); {
 	case since != 0 && now-since >= bypassPatience:
-		return unavailable("the leader refuses this node's links")
+		return unavailable("the leader refuses this node's links").Response
 	case len(c.deps.Settings.Others) > 0 && !c.peers.ReachesAny() && lease.Unanswered() > lease.timing.Length:
-		return unavailable("cut off from the state service and the other controllers")
+		return unavailable("cut off from the state service and the other controllers").Response
 	case now-units.Micros(c.lastUseful.Load()) <= 2*lease.timing.Length+restartTime:
 		return transport.Response{Status: http.StatusOK}
 	}
-	return unavailable("no leader in reach")
+	return unavailable("no leader in reach").Response
 }
 
 // Ready tells whether the records are restored.
@@ -225,18 +225,29 @@
 	return t.ready
 }
 
-func (c *Controller) submit(ctx context.Context, body []byte, forward bool) transport.Response {
+// gate is what every answer about a job passes on its way out.
+func (c *Controller) gate() answerGate {
+	return answerGate{clock: c.deps.Clock, revisions: c.deps.Store.Revisions}
+}
+
+func (c *Controller) records() recordReader {
+	return recordReader{store: c.deps.Store, clock: c.deps.Clock, workers: c.deps.Settings.Fleet.Workers}
+}
+
+func (c *Controller) submit(ctx context.Context, body []byte, forward bool) answer {
 	spec, err := protocol.ParseSubmission(body)
 	if err != nil {
 		// A job that is known stays known, whatever else a repeat says.
 		if id, ok := protocol.SubmissionID(body); ok {
-			if r := c.poll(ctx, id, forward); r.Status != http.StatusNotFound {
-				return r
+			known := c.poll(ctx, id, forward)
+			if known.Status != http.StatusNotFound {
+				return known
 			}
+			return answer{Response: Refuse(http.StatusBadRequest, err.Error()), proof: known.proof}
 		}
-		return Refuse(http.StatusBadRequest, err.Error())
+		return plainAnswer(Refuse(http.StatusBadRequest, err.Error()))
 	}
-	var r transport.Response
+	var r answer
 	if t := c.leading(); t == nil {
 		r = c.forward(ctx, forward, protocol.FrameSubmit, "", body)
 	} else if r = t.Submit(ctx, spec); t.Ready() {
@@ -249,9 +260,9 @@
 	return r
 }
 
-func (c *Controller) poll(ctx context.Context, id string, forward bool) transport.Response {
+func (c *Controller) poll(ctx context.Context, id string, forward bool) answer {
 	if !protocol.ValidJobID(id) {
-		return Refuse(http.StatusNotFound, "no such job")
+		return plainAnswer(Refuse(http.StatusNotFound, "no such job"))
 	}
 	if t := c.leading(); t != nil {
 		return t.Poll(ctx, id)
@@ -259,17 +270,20 @@
 	r := c.forward(ctx, forward, protocol.FramePoll, id, nil)
 	if forward && r.Status == http.StatusServiceUnavailable && !c.peers.Reaches(c.leader()) &&
 		c.deps.Lease.Unanswered() < c.deps.Lease.timing.Length {
-		return PollStored(ctx, c.deps.Store, id, c.deps.Settings.Fleet.Workers)
+		return c.records().poll(ctx, id)
 	}
 	return r
 }
 
-func (c *Controller) cancel(ctx context.Context, id string, forward bool) transport.Response {
+func (c *Controller) cancel(ctx context.Context, id string, forward bool) answer {
 	if !protocol.ValidJobID(id) {
-		return Refuse(http.StatusNotFound, "no such job")
+		return plainAnswer(Refuse(http.StatusNotFound, "no such job"))
 	}
 	if t := c.leading(); t != nil {
-		return t.Cancel(ctx, id)
+		until := c.deps.Clock.Steady() + acceptWait
+		a := t.Cancel(ctx, id)
+		c.gate().await(ctx, a, until)
+		return a
 	}
 	return c.forward(ctx, forward, protocol.FrameCancel, id, nil)
 }
@@ -277,14 +291,14 @@
 // forward passes a request on to the leader, once: a request that came from
 // another controller is not passed on again. A leader that has not answered for
 // a while is not waited for.
-func (c *Controller) forward(ctx context.Context, allowed bool, kind protocol.FrameKind, id string, body []byte) transport.Response {
+func (c *Controller) forward(ctx context.Context, allowed bool, kind protocol.FrameKind, id string, body []byte) answer {
 	if leader := c.leader(); allowed && leader != c.deps.Settings.Node && c.peers.Reaches(leader) {
 		sent := c.deps.Clock.Steady()
 		r, err := c.peers.Forward(ctx, leader, kind, id, body)
 		if err == nil {
 			c.deps.Log.Debug("request passed on", "leader", leader, "kind", kind.String(), "status", r.Status,
 				"took_us", int64(c.deps.Clock.Steady()-sent))
-			return r
+			return relayedAnswer(r, sent)
 		}
 		c.deps.Log.Debug("request not passed on", "leader", leader, "job", id, "error", err)
 	}
@@ -297,14 +311,16 @@
 		leading = c.deps.Settings.Node
 	}
 	return answerFrame(ctx, data, leading, func(ctx context.Context, f protocol.Frame) transport.Response {
+		var a answer
 		switch f.Kind {
 		case protocol.FrameSubmit:
-			return c.submit(ctx, f.Body, false)
+			a = c.submit(ctx, f.Body, false)
 		case protocol.FramePoll:
-			return c.poll(ctx, f.Job, false)
+			a = c.poll(ctx, f.Job, false)
 		default:
-			return c.cancel(ctx, f.Job, false)
+			a = c.cancel(ctx, f.Job, false)
 		}
+		return c.gate().release(a)
 	})
 }
 
@@ -327,7 +343,7 @@
 	}
 	admitted := c.reports.admit(ctx)
 	if admitted == nil {
-		return unavailable("the node ends")
+		return unavailable("the node ends").Response
 	}
 	defer admitted.release()
 	report, err := c.reader.Parse(r.Body)
@@ -344,7 +360,7 @@
 	}
 	answer, ok := t.Report(ctx, report, admitted)
 	if !ok || !c.deps.Lease.Valid(t.number) {
-		return unavailable("no right to command, or an old report")
+		return unavailable("no right to command, or an old report").Response
 	}
 	return transport.Response{Status: http.StatusOK, Body: protocol.Encode(answer)}
 }
--- a/internal/coordination/finals.go
+++ b/internal/coordination/finals.go
@@ -9,7 +9,7 @@
 	"dunestand/internal/units"
 )
 
-func (t *Term) readFinal(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
+func (t *Term) readFinal(ctx context.Context, id string) (bookkeeping.FinalRecord, bool, error) {
 	return ReadFinal(ctx, t.Store, id)
 }
 
@@ -17,15 +17,16 @@
 const finalCall = 1200 * units.Millisecond
 
 // ReadFinal reads a finished job's record.
-func ReadFinal(ctx context.Context, store *bookkeeping.Store, id string) (bookkeeping.Final, bool, error) {
-	var f bookkeeping.Final
+func ReadFinal(ctx context.Context, store *bookkeeping.Store, id string) (bookkeeping.FinalRecord, bool, error) {
+	var f bookkeeping.FinalRecord
 	item, ok, err := store.Get(ctx, bookkeeping.KeyFinal(id), finalCall)
 	if err != nil || !ok {
 		return f, false, err
 	}
-	if err := protocol.Decode(item.Value, &f); err != nil || !f.Stage.Final() {
+	if err := protocol.Decode(item.Value, &f.Final); err != nil || !f.Stage.Final() {
 		return f, false, fmt.Errorf("record %s is not readable: %w", item.Key, err)
 	}
+	f.Version = item.Version
 	return f, true, nil
 }
 
@@ -33,21 +34,21 @@
 // bound on their number.
 type finalCache struct {
 	most     int
-	old, new map[string]bookkeeping.Final
+	old, new map[string]bookkeeping.FinalRecord
 }
 
 func newFinalCache(most int) *finalCache {
-	return &finalCache{most: most, old: map[string]bookkeeping.Final{}, new: map[string]bookkeeping.Final{}}
+	return &finalCache{most: most, old: map[string]bookkeeping.FinalRecord{}, new: map[string]bookkeeping.FinalRecord{}}
 }
 
-func (c *finalCache) put(id string, f bookkeeping.Final) {
+func (c *finalCache) put(id string, f bookkeeping.FinalRecord) {
 	if len(c.new) >= c.most/2 {
-		c.old, c.new = c.new, map[string]bookkeeping.Final{}
+		c.old, c.new = c.new, map[string]bookkeeping.FinalRecord{}
 	}
 	c.new[id] = f
 }
 
-func (c *finalCache) get(id string) (bookkeeping.Final, bool) {
+func (c *finalCache) get(id string) (bookkeeping.FinalRecord, bool) {
 	if f, ok := c.new[id]; ok {
 		return f, true
 	}
@@ -59,7 +60,7 @@
 }
 
 // final finds the final state of a job that is not live.
-func (t *Term) final(ctx context.Context, id string) (bookkeeping.Final, bool, error) {
+func (t *Term) final(ctx context.Context, id string) (bookkeeping.FinalRecord, bool, error) {
 	t.mu.Lock()
 	f, ok := t.finals.get(id)
 	t.mu.Unlock()
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -9,7 +9,6 @@
 
 	"dunestand/internal/bookkeeping"
 	"dunestand/internal/protocol"
-	"dunestand/internal/transport"
 	"dunestand/internal/units"
 )
 
@@ -65,7 +64,7 @@
 
 // acceptAlone puts a job into the inbox, if it is certain that the job can be
 // taken; otherwise the refusal stands, and a leader decides when there is one.
-func (c *Controller) acceptAlone(ctx context.Context, spec *protocol.JobSpec, refused transport.Response) transport.Response {
+func (c *Controller) acceptAlone(ctx context.Context, spec *protocol.JobSpec, refused answer) answer {
 	store, lease := c.deps.Store, c.deps.Lease
 	if lease.Unanswered() >= lease.timing.Length || !store.Spare() || !store.WritesSpare() {
 		return refused
@@ -75,8 +74,9 @@
 	}
 	share := jobMemory(c.deps.Settings) / int64(1+len(c.deps.Settings.Others))
 	if c.arrivals.alone.Add(bookkeeping.MemoryOf(spec)) > share {
-		return Refuse(http.StatusTooManyRequests, "too many jobs wait for a leader")
+		return plainAnswer(Refuse(http.StatusTooManyRequests, "too many jobs wait for a leader"))
 	}
+	readAt := c.deps.Clock.Steady()
 	_, err := store.Commit(ctx, bookkeeping.ArrivalTxn(bookkeeping.Arrival{
 		Spec:      *spec,
 		Submitted: c.deps.Clock.Wall(),
@@ -85,7 +85,7 @@
 	switch {
 	case errors.As(err, &conflict):
 		// It is known already: a repeat, or the leader took it after all.
-		if r := PollStored(ctx, store, spec.ID, c.deps.Settings.Fleet.Workers); r.Status == http.StatusOK {
+		if r := c.records().poll(ctx, spec.ID); r.Status == http.StatusOK {
 			return r
 		}
 		return refused
@@ -93,7 +93,11 @@
 		return refused
 	}
 	c.deps.Log.Info("job accepted without a leader", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
-	return stateAnswer(http.StatusCreated, protocol.JobState{UID: spec.ID, Stage: protocol.StagePending})
+	accepted := provisionalAnswer(stateAnswer(http.StatusCreated, protocol.JobState{UID: spec.ID, Stage: protocol.StagePending}), readAt)
+	if c.gate().outdated(accepted) {
+		return c.records().poll(ctx, spec.ID) // it may be over by now
+	}
+	return accepted
 }
 
 // inboxLoop takes in what other controllers accepted.
--- a/internal/coordination/persistence.go
+++ b/internal/coordination/persistence.go
@@ -176,7 +176,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, f := range t.ledger.Applied(s, version) {
-		t.finals.put(id, f)
+		t.finals.put(id, bookkeeping.FinalRecord{Final: f, Version: version})
 		t.Log.Info("job over", "job", id, "stage", f.Stage, "done", f.Done)
 	}
 	signal(t.roundSignal)
@@ -186,7 +186,7 @@
 // submits the id of a job that is over, or somebody else has claimed our
 // buckets and this term is at its end.
 func (t *Term) conflicted(ctx context.Context, s *bookkeeping.Save, c *bookkeeping.ConflictError) {
-	over := map[string]bookkeeping.Final{}
+	over := map[string]bookkeeping.FinalRecord{}
 	for _, key := range c.Keys {
 		id, isFinal := bookkeeping.JobOfFinal(key)
 		if !isFinal {
--- /dev/null
+++ b/internal/coordination/records.go
@@ -0,0 +1,77 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// recordReader answers polls from the records alone, for a node that does not lead and
+// cannot reach the leader. What they say was committed before anybody was told of it.
+type recordReader struct {
+	store   *bookkeeping.Store
+	clock   units.Clock
+	workers config.Workers
+}
+
+// storedCall bounds each of the reads that a poll is answered from without the leader.
+const storedCall = 800 * units.Millisecond
+
+// poll tells a job's state.
+func (r recordReader) poll(ctx context.Context, id string) answer {
+	if !r.store.Spare() {
+		return unavailable("no leader")
+	}
+	// From the inbox a job moves to the live records and from there to the final
+	// ones. It is looked for in the two latter first, since it is there nearly
+	// always; one that is in none of the three may have moved in between, and is
+	// then found by a second look.
+	began := r.clock.Steady()
+	if a, found := r.liveOrFinal(ctx, id); found {
+		return a
+	}
+	readAt := r.clock.Steady()
+	item, ok, err := r.store.Get(ctx, bookkeeping.KeyInbox(id), storedCall)
+	if err != nil {
+		return unavailable("state service is out of reach")
+	}
+	if ok {
+		if _, err := bookkeeping.ParseArrival(item); err != nil {
+			return unavailable("the job's record is not readable")
+		}
+		return provisionalAnswer(stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: protocol.StagePending}), readAt)
+	}
+	if a, found := r.liveOrFinal(ctx, id); found {
+		return a
+	}
+	return provisionalAnswer(Refuse(http.StatusNotFound, "no such job"), began)
+}
+
+// liveOrFinal looks for a job in the live and then in the final records.
+func (r recordReader) liveOrFinal(ctx context.Context, id string) (answer, bool) {
+	readAt := r.clock.Steady()
+	item, ok, err := r.store.Get(ctx, bookkeeping.KeyJob(id), storedCall)
+	if err != nil {
+		return unavailable("state service is out of reach"), true
+	}
+	if ok {
+		jobs, _, err := bookkeeping.ParseJobs([]protocol.Item{item})
+		if err != nil {
+			return unavailable("the job's record is not readable"), true
+		}
+		return jobAnswer(http.StatusOK, jobs[0], r.workers, readAt), true
+	}
+	f, ok, err := ReadFinal(ctx, r.store, id)
+	switch {
+	case errors.Is(err, bookkeeping.ErrRefused), errors.Is(err, bookkeeping.ErrUncertain):
+		return unavailable("state service is out of reach"), true
+	case err != nil:
+		return unavailable("the job's record is not readable"), true
+	}
+	return finalAnswer(id, f), ok
+}
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -27,34 +26,42 @@
 	return r
 }
 
-func unavailable(why string) transport.Response { return Refuse(http.StatusServiceUnavailable, why) }
-
 func stateAnswer(status int, s protocol.JobState) transport.Response {
 	return transport.Response{Status: status, Body: protocol.Encode(s)}
 }
 
-func finalAnswer(id string, f bookkeeping.Final) transport.Response {
-	return stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: f.Stage, Done: f.Done})
-}
-
 // cancelled tells whether the user of a job may be told that it is cancelled, though
 // it is not over.
 func cancelled(j *bookkeeping.Job, w config.Workers) bool { return j.CancelStored && confirmsAtOnce(w) }
 
-func jobAnswer(status int, j *bookkeeping.Job, w config.Workers) transport.Response {
+// jobAnswer tells a live job's state as it was read at readAt or later.
+func jobAnswer(status int, j *bookkeeping.Job, w config.Workers, readAt units.Micros) answer {
 	s := protocol.JobState{
 		UID:     j.Spec.ID,
 		Stage:   protocol.StagePending,
 		Done:    j.DoneCount(),
 		Running: j.Running(),
 	}
-	switch {
-	case cancelled(j, w):
+	if cancelled(j, w) {
 		s.Stage = protocol.StageCancelled
-	case s.Running > 0 || s.Done > 0:
+		return answer{
+			Response: stateAnswer(status, s),
+			proof:    proof{kind: final, version: j.CancelVersion()},
+		}
+	}
+	if s.Running > 0 || s.Done > 0 {
 		s.Stage = protocol.StageRunning
 	}
-	return stateAnswer(status, s)
+	return provisionalAnswer(stateAnswer(status, s), readAt)
+}
+
+// liveAnswer tells the state of a job that is stored, under the lock. While its end or
+// cancellation is being stored, others may tell of it, and nothing is certain here.
+func (t *Term) liveAnswer(status int, j *bookkeeping.Job, readAt units.Micros) answer {
+	if j.EndBeingStored() {
+		return unavailable("the job's end is being stored")
+	}
+	return jobAnswer(status, j, t.Settings.Fleet.Workers, readAt)
 }
 
 // leads tells, under the lock, whether this node may speak for the service.
@@ -65,9 +72,10 @@
 func jobMemory(s *config.Settings) int64 { return int64(s.Fleet.Resources.RAMMB * (1 << 20)) }
 
 // Submit accepts a job, durably, before it answers.
-func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) transport.Response {
+func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) answer {
 	began := t.Clock.Steady()
 	t.mu.Lock()
+	readAt := t.Clock.Steady()
 	if !t.leads() {
 		t.mu.Unlock()
 		return unavailable("no leader")
@@ -83,11 +91,13 @@
 			if status != http.StatusServiceUnavailable {
 				// An id that is known already is known, whatever else the
 				// request now says.
-				if r := t.Poll(ctx, spec.ID); r.Status != http.StatusNotFound {
-					return r
+				known := t.Poll(ctx, spec.ID)
+				if known.Status != http.StatusNotFound {
+					return known
 				}
+				return answer{Response: Refuse(status, why), proof: known.proof}
 			}
-			return Refuse(status, why)
+			return plainAnswer(Refuse(status, why))
 		}
 		j = t.ledger.NewJob(*spec, t.Clock.Wall(), t.Clock.Steady())
 		t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "priority", spec.Priority, "tasks", spec.Tasks,
@@ -95,7 +105,7 @@
 		signal(t.saveSignal)
 	} else if j.Accepted() {
 		defer t.mu.Unlock()
-		return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers)
+		return t.liveAnswer(http.StatusOK, j, readAt)
 	}
 	saved := j.Saved()
 	noted := t.Clock.Steady()
@@ -108,13 +118,17 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	readAt = t.Clock.Steady()
 	if !t.leads() {
 		return unavailable("no leader")
 	}
 	if f, ok := t.finals.get(spec.ID); ok {
 		return finalAnswer(spec.ID, f)
 	}
-	return jobAnswer(http.StatusCreated, j, t.Settings.Fleet.Workers)
+	if t.ledger.Jobs[spec.ID] != j || !j.Accepted() {
+		return unavailable("the job is being accepted") // it left the ledger meanwhile
+	}
+	return t.liveAnswer(http.StatusCreated, j, readAt)
 }
 
 func waitFor(ctx context.Context, saved <-chan struct{}) bool {
@@ -172,7 +186,8 @@
 }
 
 // Poll tells a job's state.
-func (t *Term) Poll(ctx context.Context, id string) transport.Response {
+func (t *Term) Poll(ctx context.Context, id string) answer {
+	began := t.Clock.Steady()
 	if r, ok := t.pollLive(id); ok {
 		return r
 	}
@@ -196,12 +211,13 @@
 	if r, ok := t.pollLive(id); ok {
 		return r
 	}
-	return Refuse(http.StatusNotFound, "no such job")
+	return provisionalAnswer(Refuse(http.StatusNotFound, "no such job"), began)
 }
 
-func (t *Term) pollLive(id string) (transport.Response, bool) {
+func (t *Term) pollLive(id string) (answer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	readAt := t.Clock.Steady()
 	if !t.leads() {
 		return unavailable("no leader"), true
 	}
@@ -211,16 +227,17 @@
 	j := t.ledger.Jobs[id]
 	switch {
 	case j == nil:
-		return transport.Response{}, false
+		return answer{}, false
 	case !j.Accepted():
 		return unavailable("the job is being accepted"), true
 	}
-	return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers), true
+	return t.liveAnswer(http.StatusOK, j, readAt), true
 }
 
 // Cancel cancels a job, durably, before it answers.
-func (t *Term) Cancel(ctx context.Context, id string) transport.Response {
+func (t *Term) Cancel(ctx context.Context, id string) answer {
 	t.mu.Lock()
+	readAt := t.Clock.Steady()
 	if !t.leads() {
 		t.mu.Unlock()
 		return unavailable("no leader")
@@ -240,7 +257,7 @@
 	}
 	if cancelled(j, t.Settings.Fleet.Workers) {
 		defer t.mu.Unlock()
-		return jobAnswer(http.StatusOK, j, t.Settings.Fleet.Workers)
+		return t.liveAnswer(http.StatusOK, j, readAt)
 	}
 	t.cancelJob(j)
 	saved := j.Saved()
@@ -277,59 +294,3 @@
 	j.Changed(now, true)
 	signal(t.saveSignal)
 }
-
-// storedCall bounds each of the reads that a poll is answered from without the leader.
-const storedCall = 800 * units.Millisecond
-
-// PollStored answers a poll from the records alone, for a node that does not
-// lead and cannot reach the leader. What they say was committed before anybody
-// was told of it, so a fresh read is never older than an earlier answer.
-func PollStored(ctx context.Context, store *bookkeeping.Store, id string, w config.Workers) transport.Response {
-	if !store.Spare() {
-		return unavailable("no leader")
-	}
-	// From the inbox a job moves to the live records and from there to the final
-	// ones. It is looked for in the two latter first, since it is there nearly
-	// always; one that is in none of the three may have moved in between, and is
-	// then found by a second look.
-	if r, found := storedState(ctx, store, id, w); found {
-		return r
-	}
-	item, ok, err := store.Get(ctx, bookkeeping.KeyInbox(id), storedCall)
-	if err != nil {
-		return unavailable("state service is out of reach")
-	}
-	if ok {
-		if _, err := bookkeeping.ParseArrival(item); err != nil {
-			return unavailable("the job's record is not readable")
-		}
-		return stateAnswer(http.StatusOK, protocol.JobState{UID: id, Stage: protocol.StagePending})
-	}
-	if r, found := storedState(ctx, store, id, w); found {
-		return r
-	}
-	return Refuse(http.StatusNotFound, "no such job")
-}
-
-// storedState looks for a job in the live and then in the final records.
-func storedState(ctx context.Context, store *bookkeeping.Store, id string, w config.Workers) (transport.Response, bool) {
-	item, ok, err := store.Get(ctx, bookkeeping.KeyJob(id), storedCall)
-	if err != nil {
-		return unavailable("state service is out of reach"), true
-	}
-	if ok {
-		jobs, _, err := bookkeeping.ParseJobs([]protocol.Item{item})
-		if err != nil {
-			return unavailable("the job's record is not readable"), true
-		}
-		return jobAnswer(http.StatusOK, jobs[0], w), true
-	}
-	f, ok, err := ReadFinal(ctx, store, id)
-	switch {
-	case errors.Is(err, bookkeeping.ErrRefused), errors.Is(err, bookkeeping.ErrUncertain):
-		return unavailable("state service is out of reach"), true
-	case err != nil:
-		return unavailable("the job's record is not readable"), true
-	}
-	return finalAnswer(id, f), ok
-}
