--- a/node/impatient_test.go
+++ b/node/impatient_test.go
@@ -63,6 +63,9 @@
 	}
 	var state protocol.JobState
 	_ = protocol.Decode(raw, &state)
+	if response.StatusCode < http.StatusMultipleChoices && state.UID != j.info.ID {
+		j.day.t.Errorf("asked about %s, answered about %q", j.info.ID, state.UID)
+	}
 	request.Ended, request.Status, request.Stage = time.Now(), response.StatusCode, state.Stage
 	request.Abandoned = request.Ended.Sub(request.Began) > patience
 	j.history.Record(request)
