--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"dunestand/internal/bookkeeping"
@@ -55,57 +54,44 @@
 	return provisionalAnswer(stateAnswer(status, s), readAt)
 }
 
-// liveAnswer tells the state of a job that is stored, under the lock. While its end or
-// cancellation is being stored, others may tell of it, and nothing is certain here.
-func (t *Term) liveAnswer(status int, j *bookkeeping.Job, readAt units.Micros) answer {
-	if j.EndBeingStored() {
-		return unavailable("the job's end is being stored")
-	}
-	return jobAnswer(status, j, t.Settings.Fleet.Workers, readAt)
-}
-
 // leads tells, under the lock, whether this node may speak for the service.
 func (t *Term) leads() bool { return t.ready && t.Lease.Valid(t.number) }
 
-// jobMemory bounds what the live jobs may take, by the reckoning of the ledger: a
-// controller refuses new jobs rather than be ended for memory with all that it holds.
-func jobMemory(s *config.Settings) int64 { return int64(s.Fleet.Resources.RAMMB * (1 << 20)) }
+// stateOf tells the state of a job that is stored, under the lock, or why none may be
+// told; false: nothing is known of such a job here.
+func (t *Term) stateOf(id string, status int) (answer, bool) {
+	readAt := t.Clock.Steady()
+	if !t.leads() {
+		return unavailable("no leader"), true
+	}
+	if f, over := t.finals.get(id); over {
+		return finalAnswer(id, f), true
+	}
+	j := t.ledger.Jobs[id]
+	switch {
+	case j == nil || !j.Accepted():
+		return answer{}, false
+	case j.EndBeingStored():
+		return unavailable("the job's end is being stored"), true // others may tell of it
+	}
+	return jobAnswer(status, j, t.Settings.Fleet.Workers, readAt), true
+}
 
 // Submit accepts a job, durably, before it answers.
 func (t *Term) Submit(ctx context.Context, spec *protocol.JobSpec) answer {
 	began := t.Clock.Steady()
 	t.mu.Lock()
-	readAt := t.Clock.Steady()
-	if !t.leads() {
-		t.mu.Unlock()
-		return unavailable("no leader")
-	}
-	if f, ok := t.finals.get(spec.ID); ok {
+	if a, known := t.stateOf(spec.ID, http.StatusOK); known {
 		t.mu.Unlock()
-		return finalAnswer(spec.ID, f)
+		return a
 	}
 	j := t.ledger.Jobs[spec.ID]
 	if j == nil {
 		if status, why := t.checkAdmissible(spec); status != 0 {
 			t.mu.Unlock()
-			if status != http.StatusServiceUnavailable {
-				// An id that is known already is known, whatever else the
-				// request now says.
-				known := t.Poll(ctx, spec.ID)
-				if known.Status != http.StatusNotFound {
-					return known
-				}
-				return answer{Response: Refuse(status, why), proof: known.proof}
-			}
-			return plainAnswer(Refuse(status, why))
+			return t.refuseUnknown(ctx, spec.ID, status, why)
 		}
-		j = t.ledger.NewJob(*spec, t.Clock.Wall(), t.Clock.Steady())
-		t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "priority", spec.Priority, "tasks", spec.Tasks,
-			"cpus", spec.Need.CPU.Float(), "estimate_ms", spec.Estimate/units.Millisecond, "deadline_ms", spec.Deadline/units.Millisecond)
-		signal(t.saveSignal)
-	} else if j.Accepted() {
-		defer t.mu.Unlock()
-		return t.liveAnswer(http.StatusOK, j, readAt)
+		j = t.enter(spec)
 	}
 	saved := j.Saved()
 	noted := t.Clock.Steady()
@@ -118,17 +104,33 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	readAt = t.Clock.Steady()
-	if !t.leads() {
-		return unavailable("no leader")
+	if a, known := t.stateOf(spec.ID, http.StatusCreated); known {
+		return a
 	}
-	if f, ok := t.finals.get(spec.ID); ok {
-		return finalAnswer(spec.ID, f)
+	return unavailable("the job is being accepted")
+}
+
+// enter adds a new job to the ledger, under the lock, and has it saved.
+func (t *Term) enter(spec *protocol.JobSpec) *bookkeeping.Job {
+	j := t.ledger.NewJob(*spec, t.Clock.Wall(), t.Clock.Steady())
+	t.Log.Info("job submitted", "job", spec.ID, "class", spec.Class, "team", spec.Team,
+		"priority", spec.Priority, "tasks", spec.Tasks, "cpus", spec.Need.CPU.Float(),
+		"estimate_ms", spec.Estimate/units.Millisecond, "deadline_ms", spec.Deadline/units.Millisecond)
+	signal(t.saveSignal)
+	return j
+}
+
+// refuseUnknown refuses a submission for good, or for now, unless its id is known: then
+// the job is known, whatever else the request now says.
+func (t *Term) refuseUnknown(ctx context.Context, id string, status int, why string) answer {
+	if status == http.StatusServiceUnavailable {
+		return unavailable(why)
 	}
-	if t.ledger.Jobs[spec.ID] != j || !j.Accepted() {
-		return unavailable("the job is being accepted") // it left the ledger meanwhile
+	known := t.Poll(ctx, id)
+	if known.Status != http.StatusNotFound {
+		return known
 	}
-	return t.liveAnswer(http.StatusCreated, j, readAt)
+	return answer{Response: Refuse(status, why), proof: known.proof}
 }
 
 func waitFor(ctx context.Context, saved <-chan struct{}) bool {
@@ -143,48 +145,6 @@
 	return false
 }
 
-// checkAdmissible tells why a new job cannot be taken; status 0 if it can.
-func (t *Term) checkAdmissible(spec *protocol.JobSpec) (int, string) {
-	status, why := checkRunnable(spec, t.Settings, t.ledger.Types, t.Format.Level())
-	if status == 0 && t.ledger.Memory()+bookkeeping.MemoryOf(spec) > jobMemory(t.Settings) {
-		return http.StatusTooManyRequests, "too many unfinished jobs"
-	}
-	return status, why
-}
-
-// checkRunnable tells why a job could never run, or why that is not known yet.
-func checkRunnable(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType, format int) (int, string) {
-	i := slices.IndexFunc(s.Fleet.Teams, func(t config.Team) bool { return t.Name == spec.Team })
-	if i < 0 {
-		return http.StatusUnprocessableEntity, "crew: unknown team"
-	}
-	switch n := bookkeeping.LimitOf(s.Fleet.Teams[i]).Fits(spec.Need); {
-	case n == 0:
-		return http.StatusUnprocessableEntity, "a task needs more than the team's limit"
-	case spec.Shape == protocol.Service && n < spec.Tasks:
-		return http.StatusUnprocessableEntity, "a service's tasks together need more than the team's limit"
-	}
-	if len(types) == 0 {
-		return http.StatusServiceUnavailable, "the machine types are not known yet"
-	}
-	fits := false
-	for name, typ := range types {
-		for _, zone := range typ.Zones {
-			fits = fits || allowed(spec, name, zone, false) && bookkeeping.SizeOf(typ).Fits(spec.Need) > 0
-		}
-	}
-	switch {
-	case !fits:
-		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
-	case !bookkeeping.Fits(spec, bookkeeping.Format, s.Fleet.State):
-		return http.StatusUnprocessableEntity, "the job's texts are too long to be kept"
-	case format < bookkeeping.FormatNew && (spec.Shape == protocol.Service || !bookkeeping.Fits(spec, format, s.Fleet.State)):
-		// A leader of the version before would take a service for an array.
-		return http.StatusServiceUnavailable, "not before all controllers are upgraded"
-	}
-	return 0, ""
-}
-
 // Poll tells a job's state.
 func (t *Term) Poll(ctx context.Context, id string) answer {
 	began := t.Clock.Steady()
@@ -214,30 +174,22 @@
 	return provisionalAnswer(Refuse(http.StatusNotFound, "no such job"), began)
 }
 
+// pollLive tells a job's state from memory, if the job is known there.
 func (t *Term) pollLive(id string) (answer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	readAt := t.Clock.Steady()
-	if !t.leads() {
-		return unavailable("no leader"), true
-	}
-	if f, ok := t.finals.get(id); ok {
-		return finalAnswer(id, f), true
+	if a, known := t.stateOf(id, http.StatusOK); known {
+		return a, true
 	}
-	j := t.ledger.Jobs[id]
-	switch {
-	case j == nil:
-		return answer{}, false
-	case !j.Accepted():
+	if t.ledger.Jobs[id] != nil {
 		return unavailable("the job is being accepted"), true
 	}
-	return t.liveAnswer(http.StatusOK, j, readAt), true
+	return answer{}, false
 }
 
 // Cancel cancels a job, durably, before it answers.
 func (t *Term) Cancel(ctx context.Context, id string) answer {
 	t.mu.Lock()
-	readAt := t.Clock.Steady()
 	if !t.leads() {
 		t.mu.Unlock()
 		return unavailable("no leader")
@@ -256,8 +208,8 @@
 		return unavailable("the job is being accepted")
 	}
 	if cancelled(j, t.Settings.Fleet.Workers) {
-		defer t.mu.Unlock()
-		return t.liveAnswer(http.StatusOK, j, readAt)
+		t.mu.Unlock()
+		return t.Poll(ctx, id)
 	}
 	t.cancelJob(j)
 	saved := j.Saved()
--- /dev/null
+++ b/internal/coordination/runnable.go
@@ -0,0 +1,56 @@
+package coordination
+
+import (
+	"net/http"
+	"slices"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+)
+
+// jobMemory bounds what the live jobs may take, by the reckoning of the ledger: a
+// controller refuses new jobs rather than be ended for memory with all that it holds.
+func jobMemory(s *config.Settings) int64 { return int64(s.Fleet.Resources.RAMMB * (1 << 20)) }
+
+// checkAdmissible tells why a new job cannot be taken; status 0 if it can.
+func (t *Term) checkAdmissible(spec *protocol.JobSpec) (int, string) {
+	status, why := checkRunnable(spec, t.Settings, t.ledger.Types, t.Format.Level())
+	if status == 0 && t.ledger.Memory()+bookkeeping.MemoryOf(spec) > jobMemory(t.Settings) {
+		return http.StatusTooManyRequests, "too many unfinished jobs"
+	}
+	return status, why
+}
+
+// checkRunnable tells why a job could never run, or why that is not known yet.
+func checkRunnable(spec *protocol.JobSpec, s *config.Settings, types map[string]protocol.MachineType, format int) (int, string) {
+	i := slices.IndexFunc(s.Fleet.Teams, func(t config.Team) bool { return t.Name == spec.Team })
+	if i < 0 {
+		return http.StatusUnprocessableEntity, "crew: unknown team"
+	}
+	switch n := bookkeeping.LimitOf(s.Fleet.Teams[i]).Fits(spec.Need); {
+	case n == 0:
+		return http.StatusUnprocessableEntity, "a task needs more than the team's limit"
+	case spec.Shape == protocol.Service && n < spec.Tasks:
+		return http.StatusUnprocessableEntity, "a service's tasks together need more than the team's limit"
+	}
+	if len(types) == 0 {
+		return http.StatusServiceUnavailable, "the machine types are not known yet"
+	}
+	fits := false
+	for name, typ := range types {
+		for _, zone := range typ.Zones {
+			fits = fits || allowed(spec, name, zone, false) && bookkeeping.SizeOf(typ).Fits(spec.Need) > 0
+		}
+	}
+	switch {
+	case !fits:
+		return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+	case !bookkeeping.Fits(spec, bookkeeping.Format, s.Fleet.State):
+		return http.StatusUnprocessableEntity, "the job's texts are too long to be kept"
+	case format < bookkeeping.FormatNew && (spec.Shape == protocol.Service || !bookkeeping.Fits(spec, format, s.Fleet.State)):
+		// A leader of the version before would take a service for an array.
+		return http.StatusServiceUnavailable, "not before all controllers are upgraded"
+	}
+	return 0, ""
+}
