--- a/node/answers_test.go
+++ b/node/answers_test.go
@@ -121,7 +121,7 @@
 		held, release := d.holdCommits(leader, bookkeeping.KeyFinal(j.info.ID))
 		d.until("the end is stored", held.Load)
 		d.holdMesh(other, leader, func() <-chan time.Time { return time.After(400 * time.Millisecond) })
-		for range 4 {
+		for range 10 {
 			j.submit(other)
 			d.wait(time.Millisecond)
 			j.poll(leader)
