--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -209,6 +209,28 @@
 	}
 }
 
+// A job is accepted without a leader by a commit that takes long. By then it may have been
+// taken in and cancelled, so its state is read again before the user is told of it.
+func TestAcceptanceThatTookLongIsReadAgain(t *testing.T) {
+	s := standin.NewState()
+	s.Put(bookkeeping.KeyCatalog, protocol.Encode(modelCatalog))
+	c, clock := refusedController(t, s)
+	const id = "j-000001"
+	s.Refuse = func(_, path string) bool {
+		if path == protocol.PathCommit {
+			clock.now += maxAnswerAge + units.Millisecond
+		}
+		return false
+	}
+	a := c.submit(t.Context(), submission(modelSpec(id), "team"), true)
+	if got := c.gate().release(a); got.Status != http.StatusOK || state(t, a).Stage != protocol.StagePending {
+		t.Errorf("%d %s", got.Status, got.Body)
+	}
+	if len(s.Keys(bookkeeping.PrefixInbox)) != 1 {
+		t.Error("it is not in the inbox")
+	}
+}
+
 // What was put into the inbox late, for a job that is over by then, is cleared
 // away and never answered for: the job's final state stands.
 func TestLateArrivalOfAFinishedJob(t *testing.T) {
