--- a/node/day_test.go
+++ b/node/day_test.go
@@ -88,74 +88,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		if p.machines == 0 {
-			p.machines = 6
-		}
-		if p.limit == 0 {
-			p.limit = dayCPUs * float64(p.machines)
-		}
-		if p.cancel == 0 {
-			p.cancel = dayCancel
-		}
-		if p.report == 0 {
-			p.report = dayReport
-		}
-		if p.memoryMB == 0 {
-			p.memoryMB = dayMemory
-		}
-		if p.nodes == 0 {
-			p.nodes = dayNodes
-		}
-		d := &day{
-			t:      t,
-			ctx:    ctx,
-			net:    standin.NewNetwork(),
-			rules:  standin.NewRuleChecker(p.limit, p.cancel),
-			state:  standin.NewState(),
-			random: rand.New(rand.NewPCG(p.seed, 7)),
-			began:  time.Now(),
-		}
-		all := dayCPUs * float64(p.machines)
-		d.settings = config.Fleet{
-			Zones: dayZones,
-			// The other team has no work; its guarantee keeps all machines rented.
-			Teams: []config.Team{
-				{Name: "team", CPUs: p.limit, CPUsMax: p.limit},
-				{Name: "other", CPUs: all, CPUsMax: all},
-			},
-			Workers: config.Workers{
-				ReportS: p.report.Seconds(),
-				LeaseS:  dayLease.Seconds(),
-				CancelS: p.cancel.Seconds(),
-			},
-			State:     config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12},
-			Cloud:     config.Cloud{RPS: 50, ListLagS: 1},
-			Resources: config.Resources{CoreShare: 1, RAMMB: p.memoryMB, MaxConnections: 400},
-		}
-		cloud := standin.NewCloud(protocol.Catalog{Types: []protocol.MachineType{
-			{
-				Name:      "m",
-				CPUs:      dayCPUs,
-				MemoryGB:  64,
-				CacheGB:   10,
-				FetchRate: 1,
-				Price:     1,
-				SpotPrice: 0.5,
-				BootS:     1,
-				Zones:     dayZones,
-			}}}, p.machines/len(dayZones))
-		cloud.Rented, cloud.Released = d.rented, d.released
-		d.serve(cloudAddr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if d.is(&d.cloudDown) {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			cloud.ServeHTTP(w, r)
-		}))
-		for i := range p.nodes {
-			d.nodes = append(d.nodes, &controller{name: fmt.Sprintf("n-%d", i)})
-			d.serve(d.nodes[i].name+portState, d.stateFor(i))
-		}
+		d := newDay(t, ctx, p.withDefaults())
 		for i := range d.nodes {
 			d.start(i)
 		}
@@ -187,6 +120,84 @@
 	})
 }
 
+// withDefaults fills in what a plan leaves open.
+func (p plan) withDefaults() plan {
+	if p.machines == 0 {
+		p.machines = 6
+	}
+	if p.limit == 0 {
+		p.limit = dayCPUs * float64(p.machines)
+	}
+	if p.cancel == 0 {
+		p.cancel = dayCancel
+	}
+	if p.report == 0 {
+		p.report = dayReport
+	}
+	if p.memoryMB == 0 {
+		p.memoryMB = dayMemory
+	}
+	if p.nodes == 0 {
+		p.nodes = dayNodes
+	}
+	return p
+}
+
+// newDay makes a day's network, state service and cloud; no controller runs yet.
+func newDay(t *testing.T, ctx context.Context, p plan) *day {
+	d := &day{
+		t:      t,
+		ctx:    ctx,
+		net:    standin.NewNetwork(),
+		rules:  standin.NewRuleChecker(p.limit, p.cancel),
+		state:  standin.NewState(),
+		random: rand.New(rand.NewPCG(p.seed, 7)),
+		began:  time.Now(),
+	}
+	all := dayCPUs * float64(p.machines)
+	d.settings = config.Fleet{
+		Zones: dayZones,
+		// The other team has no work; its guarantee keeps all machines rented.
+		Teams: []config.Team{
+			{Name: "team", CPUs: p.limit, CPUsMax: p.limit},
+			{Name: "other", CPUs: all, CPUsMax: all},
+		},
+		Workers: config.Workers{
+			ReportS: p.report.Seconds(),
+			LeaseS:  dayLease.Seconds(),
+			CancelS: p.cancel.Seconds(),
+		},
+		State:     config.State{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12},
+		Cloud:     config.Cloud{RPS: 50, ListLagS: 1},
+		Resources: config.Resources{CoreShare: 1, RAMMB: p.memoryMB, MaxConnections: 400},
+	}
+	cloud := standin.NewCloud(protocol.Catalog{Types: []protocol.MachineType{
+		{
+			Name:      "m",
+			CPUs:      dayCPUs,
+			MemoryGB:  64,
+			CacheGB:   10,
+			FetchRate: 1,
+			Price:     1,
+			SpotPrice: 0.5,
+			BootS:     1,
+			Zones:     dayZones,
+		}}}, p.machines/len(dayZones))
+	cloud.Rented, cloud.Released = d.rented, d.released
+	d.serve(cloudAddr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.is(&d.cloudDown) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		cloud.ServeHTTP(w, r)
+	}))
+	for i := range p.nodes {
+		d.nodes = append(d.nodes, &controller{name: fmt.Sprintf("n-%d", i)})
+		d.serve(d.nodes[i].name+portState, d.stateFor(i))
+	}
+	return d
+}
+
 func (d *day) wait(w time.Duration) {
 	select {
 	case <-d.ctx.Done():
@@ -367,152 +378,3 @@
 	d.t.Fatal("nobody leads")
 	return 0
 }
-
-// ask sends a controller one request, as a user does.
-func (d *day) ask(node int, method, path string, body any) (int, []byte) {
-	status, raw, _ := d.askHeader(node, method, path, body)
-	return status, raw
-}
-
-func (d *day) askHeader(node int, method, path string, body any) (int, []byte, http.Header) {
-	ctx, cancel := context.WithTimeout(d.ctx, 2*time.Second)
-	defer cancel()
-	var r io.Reader
-	if body != nil {
-		r = bytes.NewReader(protocol.Encode(body))
-	}
-	req, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://n-%d%s%s", node, standin.UsersPort, path), r)
-	client := http.Client{Transport: &http.Transport{
-		DialContext:       d.net.Dialer("user"),
-		DisableKeepAlives: true,
-	}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, nil, nil
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil, nil
-	}
-	return resp.StatusCode, raw, resp.Header
-}
-
-// told asks a controller about a job and has the rule checker hear the answer.
-func (d *day) told(node int, id string, repeat bool, method, path string, body any) (int, protocol.Stage) {
-	status, raw := d.ask(node, method, path, body)
-	var s protocol.JobState
-	_ = protocol.Decode(raw, &s)
-	d.rules.Answered(id, repeat, status, s.Stage)
-	return status, s.Stage
-}
-
-// job makes a user's job; its last task runs longest.
-func (d *day) job(tasks int, runs time.Duration) standin.JobInfo {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.users++
-	return standin.JobInfo{
-		ID:      fmt.Sprintf("j-%06d", d.users),
-		Tasks:   tasks,
-		CPUs:    1,
-		Runs:    runs,
-		Urgency: "normal",
-	}
-}
-
-func described(j standin.JobInfo) map[string]any {
-	b := submission(j.ID, j.Tasks)
-	b["vcpus"], b["together"], b["apart"], b["urgency"], b["expect_s"] = j.CPUs, j.OneZone, j.Spread, j.Urgency, j.Runs.Seconds()
-	if j.Zone != "" {
-		b["yard"] = j.Zone
-	}
-	return b
-}
-
-// submit has a user submit a job until it is accepted, and then ask about it
-// until it is over.
-func (d *day) submit(j standin.JobInfo) {
-	d.t.Helper()
-	d.rules.Submitted(j)
-	first := d.random.IntN(dayNodes)
-	for try := 0; ; try++ {
-		if status, _ := d.told((first+try)%dayNodes, j.ID, false, http.MethodPost, "/submissions", described(j)); status == 200 || status == 201 {
-			break
-		} else if status == 400 || status == 422 {
-			d.t.Errorf("%s is refused: %d", j.ID, status)
-			return
-		}
-		d.wait(time.Second)
-	}
-	go func() {
-		for try := 0; d.ctx.Err() == nil && !d.rules.Told(j.ID).Final(); try++ {
-			d.wait(3 * time.Second)
-			d.told((first+try)%dayNodes, j.ID, false, http.MethodGet, "/submissions/"+j.ID, nil)
-		}
-	}()
-}
-
-// cancel has a user ask until the job is cancelled, or done.
-func (d *day) cancel(id string) {
-	d.rules.Asked(id)
-	go func() {
-		for try := 0; d.ctx.Err() == nil; try++ {
-			if status, stage := d.told((d.users+try)%dayNodes, id, false, http.MethodPost, "/submissions/"+id+"/cancel", nil); status == 200 && stage.Final() {
-				return
-			}
-			d.wait(time.Second)
-		}
-	}()
-}
-
-// calm ends all troubles.
-func (d *day) calm() {
-	d.set(func() {
-		d.stateDown, d.cloudDown, d.stateSlow, d.listSlow, d.late = false, false, 0, 0, 0
-		for _, n := range d.nodes {
-			n.refused = false
-		}
-	})
-	for i := range d.nodes {
-		d.cutPeers(i, false)
-		d.cutWorkers(i, false, func(*standin.Machine) bool { return true })
-	}
-	for _, m := range d.all() {
-		m.Set(standin.Trouble{})
-		m.Hang(0)
-	}
-}
-
-// refuse has the state service refuse one controller, or serve it again.
-func (d *day) refuse(node int, refused bool) { d.set(func() { d.nodes[node].refused = refused }) }
-
-// outage has the state service refuse everybody, or serve them again.
-func (d *day) outage(down bool) { d.set(func() { d.stateDown = down }) }
-
-// cutPeers separates a controller from the others, or joins it again.
-func (d *day) cutPeers(node int, cut bool) {
-	for k := range d.nodes {
-		if k != node {
-			d.net.Cut(d.nodes[node].name, d.nodes[k].name+portMesh, cut)
-			d.net.Cut(d.nodes[k].name, d.nodes[node].name+portMesh, cut)
-		}
-	}
-}
-
-// cutWorkers separates a controller from some machines, or joins them again.
-func (d *day) cutWorkers(node int, cut bool, which func(m *standin.Machine) bool) {
-	for _, m := range d.all() {
-		if which(m) {
-			d.net.Cut(m.ID, d.nodes[node].name+standin.UsersPort, cut)
-			d.net.Cut(d.nodes[node].name, m.Endpoint(), cut)
-		}
-	}
-}
-
-// trouble puts machines into a trouble.
-func trouble(machines []*standin.Machine, t standin.Trouble) {
-	for _, m := range machines {
-		m.Set(t)
-	}
-}
