--- a/node/answers_test.go
+++ b/node/answers_test.go
@@ -53,16 +53,22 @@
 // follower is a controller that does not lead.
 func (d *day) follower(leader int) int { return (leader + 1) % len(d.nodes) }
 
+// acceptedJob makes a watched job that is accepted, and names the leader and a controller
+// that does not lead.
+func (d *day) acceptedJob(tasks int, runs time.Duration) (j *watchedJob, leader, other int) {
+	d.t.Helper()
+	j = d.watch(standin.NewHistory(), tasks, runs)
+	j.submitUntilAccepted()
+	leader = d.leader()
+	return j, leader, d.follower(leader)
+}
+
 // The save that ends a job is carried out and its answer held back. A controller that
 // does not reach the leader reads the final record and tells of it; from then on the
 // leader, which does not know yet, must not call the job running.
 func TestEndIsStoredBeforeTheLeaderKnows(t *testing.T) {
 	play(t, plan{}, func(d *day) {
-		h := standin.NewHistory()
-		j := d.watch(h, 2, 3*time.Second)
-		j.submitUntilAccepted()
-		leader := d.leader()
-		other := d.follower(leader)
+		j, leader, other := d.acceptedJob(2, 3*time.Second)
 		d.cutPeers(other, true)
 		held, release := d.holdCommits(leader, bookkeeping.KeyFinal(j.info.ID))
 		d.until("the end is stored", held.Load)
@@ -76,19 +82,15 @@
 		if !j.final(leader, 3*time.Second) {
 			t.Error("the leader does not tell of the end")
 		}
-		d.regressions(h)
+		d.regressions(j.history)
 	})
 }
 
 // The same for a cancellation, which is told before the job is over.
 func TestCancellationIsStoredBeforeTheLeaderKnows(t *testing.T) {
 	play(t, plan{}, func(d *day) {
-		h := standin.NewHistory()
-		j := d.watch(h, 4, long)
-		j.submitUntilAccepted()
+		j, leader, other := d.acceptedJob(4, long)
 		d.until("it runs", func() bool { return d.rules.On(j.info.ID) == 4 })
-		leader := d.leader()
-		other := d.follower(leader)
 		d.cutPeers(other, true)
 		held, release := d.holdCommits(leader, bookkeeping.KeyJob(j.info.ID))
 		j.later(func() { j.cancel(leader) })
@@ -104,7 +106,7 @@
 		if !j.final(leader, 3*time.Second) {
 			t.Error("the leader does not tell of the cancellation")
 		}
-		d.regressions(h)
+		d.regressions(j.history)
 	})
 }
 
@@ -113,11 +115,7 @@
 // cut between them either.
 func TestRepeatedSubmissionMeetsTheEnd(t *testing.T) {
 	play(t, plan{}, func(d *day) {
-		h := standin.NewHistory()
-		j := d.watch(h, 2, 3*time.Second)
-		j.submitUntilAccepted()
-		leader := d.leader()
-		other := d.follower(leader)
+		j, leader, other := d.acceptedJob(2, 3*time.Second)
 		held, release := d.holdCommits(leader, bookkeeping.KeyFinal(j.info.ID))
 		d.until("the end is stored", held.Load)
 		d.holdMesh(other, leader, func() <-chan time.Time { return time.After(400 * time.Millisecond) })
@@ -131,7 +129,7 @@
 		if !j.final(leader, 3*time.Second) {
 			t.Error("the leader does not tell of the end")
 		}
-		d.regressions(h)
+		d.regressions(j.history)
 	})
 }
 
@@ -141,11 +139,7 @@
 func TestPassedOnAnswerIsHeldUp(t *testing.T) {
 	play(t, plan{}, func(d *day) {
 		const runs = 3 * time.Second
-		h := standin.NewHistory()
-		j := d.watch(h, 1, runs)
-		j.submitUntilAccepted()
-		leader := d.leader()
-		other := d.follower(leader)
+		j, leader, other := d.acceptedJob(1, runs)
 		d.until("it runs", func() bool { return d.rules.On(j.info.ID) == 1 })
 		d.wait(runs - 500*time.Millisecond)
 		gate := make(chan time.Time)
@@ -168,7 +162,7 @@
 		close(gate)
 		j.asking.Wait()
 		d.net.Delay(nil)
-		d.regressions(h)
+		d.regressions(j.history)
 	})
 }
 
@@ -177,11 +171,7 @@
 func TestReadOfALiveRecordIsHeldUp(t *testing.T) {
 	play(t, plan{}, func(d *day) {
 		const runs = 6 * time.Second
-		h := standin.NewHistory()
-		j := d.watch(h, 1, runs)
-		j.submitUntilAccepted()
-		leader := d.leader()
-		other := d.follower(leader)
+		j, leader, other := d.acceptedJob(1, runs)
 		d.cutPeers(other, true)
 		d.until("it runs", func() bool { return d.rules.On(j.info.ID) == 1 })
 		d.wait(runs - 300*time.Millisecond) // the link counts as lost by now
@@ -202,6 +192,6 @@
 		if !j.final(leader, 2*time.Second) {
 			t.Error("the leader does not tell of the end")
 		}
-		d.regressions(h)
+		d.regressions(j.history)
 	})
 }
