--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -28,13 +28,13 @@
 const restoreWait = 2 * units.Second
 
 // waitRestored waits until the records are restored, and tells whether they are.
-func (t *Term) waitRestored(ctx context.Context, admitted *admitted) bool {
+func (t *Term) waitRestored(ctx context.Context, slot *reportSlot) bool {
 	select {
 	case <-t.restored:
 		return true
 	default:
 	}
-	admitted.release()
+	slot.release()
 	timer := time.NewTimer(restoreWait.Duration())
 	defer timer.Stop()
 	select {
@@ -48,14 +48,14 @@
 
 // Report takes in a worker's report and gives the commands for it. It is not
 // accepted (false) when this node may not command, or the report is an old
-// one. It releases admitted before it waits for anything.
+// one. It releases the slot before it waits for anything.
 //
 // An answer prolongs the worker's lease, and with it whatever runs there. So none
 // is given before the records are restored: this node might not know yet of a
 // cancellation that a former leader's user was told of.
-func (t *Term) Report(ctx context.Context, r *protocol.Report, admitted *admitted) (protocol.ReportAnswer, bool) {
+func (t *Term) Report(ctx context.Context, r *protocol.Report, slot *reportSlot) (protocol.ReportAnswer, bool) {
 	answer := protocol.ReportAnswer{Term: t.number, Commands: []protocol.Command{}}
-	if !t.waitRestored(ctx, admitted) {
+	if !t.waitRestored(ctx, slot) {
 		return answer, false
 	}
 	t.mu.Lock()
@@ -76,7 +76,7 @@
 	if wait := t.undurable(m); wait != nil {
 		signal(t.saveSignal)
 		t.mu.Unlock()
-		admitted.release()
+		slot.release()
 		select {
 		case <-wait:
 		case <-ctx.Done():
--- a/internal/coordination/reportlimiter_test.go
+++ b/internal/coordination/reportlimiter_test.go
@@ -13,33 +13,33 @@
 	"dunestand/internal/units"
 )
 
-func TestAdmissionIsForOneAtATime(t *testing.T) {
-	reports := newAdmission()
+func TestReportsAreWorkedOnOneAtATime(t *testing.T) {
+	reports := newReportLimiter()
 	var inside, most atomic.Int64
 	var wg sync.WaitGroup
 	for range 20 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			admitted := reports.admit(t.Context())
-			defer admitted.release()
+			slot := reports.acquire(t.Context())
+			defer slot.release()
 			if n := inside.Add(1); n > most.Load() {
 				most.Store(n)
 			}
 			time.Sleep(time.Millisecond)
 			inside.Add(-1)
-			admitted.release() // and once more when the function returns
+			slot.release() // and once more when the function returns
 		}()
 	}
 	wg.Wait()
 	if most.Load() != 1 {
-		t.Errorf("%d were admitted at a time", most.Load())
+		t.Errorf("%d were worked on at a time", most.Load())
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	held := reports.admit(t.Context())
-	if late := reports.admit(ctx); late != nil {
-		t.Error("admitted while another one was")
+	held := reports.acquire(t.Context())
+	if late := reports.acquire(ctx); late != nil {
+		t.Error("acquired while another one was worked on")
 	}
 	held.release()
 }
@@ -68,7 +68,7 @@
 	time.Sleep(20 * time.Millisecond) // both wait by now
 	soon, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	other := controller.reports.admit(soon)
+	other := controller.reports.acquire(soon)
 	if other == nil {
 		t.Fatal("a report that waits for the restore holds up the others")
 	}
