--- a/internal/coordination/admitter_test.go
+++ b/internal/coordination/admitter_test.go
@@ -248,7 +248,7 @@
 		t.Fatal(err)
 	}
 	c, _ := refusedController(t, s)
-	c.deps.Settings = term.Settings
+	c.deps.Settings, c.deps.Store = term.Settings, term.Store // whose limits are far away
 	c.deps.Format.level.Store(bookkeeping.FormatAdmission)
 	a := newAdmitter(term.Settings, admission.Options{Horizon: floodHorizon}, c.deps.Store, c.deps.Format, c.deps.Clock, c.deps.Log, NewMetrics())
 	c.deps.Admitter = a
