--- a/cmd/dunestand/processes_test.go
+++ b/cmd/dunestand/processes_test.go
@@ -154,14 +154,8 @@
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	kind, plan := admissioncheck.SaysNothing, uint64(0)
-	switch resp.StatusCode {
-	case http.StatusOK, http.StatusCreated:
-		kind = admissioncheck.SaysAccepted
-	case http.StatusTooManyRequests:
-		var problem protocol.Problem
-		_ = protocol.Decode(body, &problem)
-		kind, plan = admissioncheck.SaysWait, problem.Plan
+	kind, plan := admissioncheck.Read(resp.StatusCode, body)
+	if kind == admissioncheck.SaysWait {
 		if after, err := strconv.Atoi(resp.Header.Get("Retry-After")); err != nil || after < 1 || after > 30 {
 			p.t.Errorf("a job that waits is to come back after %q", resp.Header.Get("Retry-After"))
 		}
--- a/internal/coordination/admitter.go
+++ b/internal/coordination/admitter.go
@@ -162,7 +162,7 @@
 
 // follow keeps the controller's plan up to date until ctx ends.
 func (a *admitter) follow(ctx context.Context) {
-	if !a.waitActive(ctx) {
+	if a == nil || !a.waitActive(ctx) {
 		return
 	}
 	f := planFollower{admitter: a}
--- a/internal/coordination/admitter_test.go
+++ b/internal/coordination/admitter_test.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// expectWait submits a job that has to wait.
+func (t *Term) expectWait(test *testing.T, spec *protocol.JobSpec) {
+	test.Helper()
+	if r := t.Submit(test.Context(), spec); r.Status != http.StatusTooManyRequests || r.RetryAfter < 1 {
+		test.Fatalf("%s is not told to wait: %d, Retry-After %d", spec.ID, r.Status, r.RetryAfter)
+	}
+}
+
 // saveOnce carries the next save through.
 func (t *Term) saveOnce(test *testing.T) {
 	test.Helper()
@@ -108,16 +116,40 @@
 		save = term.nextSave()
 	}
 	flooded(t, term)
-	term.commit(t.Context(), save)
+	// Even while the record cannot be read again, the job is not saved by the new plan.
+	unread := make(chan struct{})
+	s.Refuse = func(method, _ string) bool {
+		if method != http.MethodGet {
+			return false
+		}
+		select {
+		case <-unread:
+			return false
+		default:
+			return true
+		}
+	}
+	conflicted := make(chan struct{})
+	go func() {
+		defer close(conflicted)
+		term.commit(t.Context(), save)
+	}()
+	for range 50 {
+		time.Sleep(time.Millisecond)
+		if again := term.nextSave(); again != nil {
+			t.Error("the job is saved again before it is decided anew")
+			break
+		}
+	}
+	close(unread)
+	<-conflicted
 	if _, stored := s.Get(bookkeeping.KeyJob("j-000001")); stored {
 		t.Error("the job was stored by a plan that has been replaced")
 	}
 	if r := <-admitted; r.Status == http.StatusCreated {
 		t.Errorf("its user was told %d", r.Status)
 	}
-	if r := term.Submit(t.Context(), admittedSpec("j-000001", "team", 1)); r.Status != http.StatusTooManyRequests || r.RetryAfter < 1 {
-		t.Errorf("by the new plan: %d, Retry-After %d", r.Status, r.RetryAfter)
-	}
+	term.expectWait(t, admittedSpec("j-000001", "team", 1))
 	var p protocol.Problem
 	r := term.Submit(t.Context(), admittedSpec("j-000001", "team", 1))
 	if err := protocol.Decode(r.Body, &p); err != nil || p.Plan != term.admission.publisher.version {
@@ -135,9 +167,7 @@
 	term := admittingTerm(t, 1, s)
 	flooded(t, term)
 	spec := admittedSpec("j-000901", "team", 1)
-	if r := term.Submit(t.Context(), spec); r.Status != http.StatusTooManyRequests {
-		t.Fatalf("%d", r.Status)
-	}
+	term.expectWait(t, spec)
 	s.Apply(bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: *spec})) // by the plan that is in force
 	if err := term.renewPlan(t.Context()); err != nil {
 		t.Fatal(err)
@@ -154,9 +184,7 @@
 	term := admittingTerm(t, 1, s)
 	flooded(t, term)
 	spec := admittedSpec("j-000901", "team", 1)
-	if r := term.Submit(t.Context(), spec); r.Status != http.StatusTooManyRequests {
-		t.Fatalf("%d", r.Status)
-	}
+	term.expectWait(t, spec)
 	s.Silent = func(int) bool { return true }
 	if err := term.renewPlan(t.Context()); err == nil {
 		t.Fatal("the answer was not lost")
@@ -172,9 +200,7 @@
 	if got := term.admission.publisher.version; got <= written {
 		t.Errorf("plan %d follows one of version %d whose answer was lost", got, written)
 	}
-	if r := term.Submit(t.Context(), spec); r.Status != http.StatusTooManyRequests {
-		t.Errorf("once it is known: %d", r.Status)
-	}
+	term.expectWait(t, spec)
 }
 
 // A plan of a former leader never replaces one of its successor, nor is it written after
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
-	"dunestand/internal/bookkeeping"
-	"dunestand/internal/config"
 	"dunestand/internal/protocol"
 	"dunestand/internal/transport"
 	"dunestand/internal/units"
@@ -35,78 +31,6 @@
 // report more often than that: a connection that is in use is not closed.
 const usersPause = 10 * units.Second
 
-// usersSockets are for users and workers.
-func usersSockets(maxConnections int) int {
-	return max(maxConnections-socketsKept(maxConnections), maxConnections/2)
-}
-
-// Environment is what a node gets from the program around it.
-type Environment struct {
-	Policy *config.Policy
-	Clock  units.Clock
-	Random *rand.Rand
-	Log    *slog.Logger
-	Dial   transport.DialFunc // nil: the machine's own network
-}
-
-// NewController makes a node from its settings.
-func NewController(s *config.Settings, env Environment) *Controller {
-	clock, log := env.Clock, env.Log
-	others := make([]string, len(s.Others))
-	for i, o := range s.Others {
-		others[i] = o.Node
-	}
-	store := bookkeeping.NewStore(env.Dial, s.Services.State, s.Fleet.State, len(others), clock)
-	reads := bookkeeping.FormatNew
-	options := admissionOptions(env.Policy.Admission)
-	if options.On() {
-		reads = bookkeeping.FormatAdmission
-	}
-	format := NewFleetFormat(s.Node, others, reads, store, log)
-	metrics := NewMetrics()
-	lease := NewFleetLease(s.Node, store.Reserved(), clock, TimingFor(s.Fleet.Workers.Lease()), env.Random, log)
-	c := &Controller{
-		deps: Deps{
-			Settings: s,
-			Policy:   env.Policy,
-			Store:    store,
-			Dial:     env.Dial,
-			Cloud:    bookkeeping.NewCloud(env.Dial, s.Services.Cloud, s.Fleet.Cloud),
-			Lease:    lease,
-			Clock:    clock,
-			Log:      log,
-			Metrics:  metrics,
-			Format:   format,
-			Admitter: newAdmitter(s, options, store, format, clock, log, metrics),
-		},
-		reader:  protocol.NewReportReader(),
-		reports: newReportLimiter(),
-		peers:   NewPeers(env.Dial, s.Others, clock, env.Random, log),
-		server: transport.NewServer(usersSockets(s.Fleet.Resources.MaxConnections),
-			3*s.Fleet.Workers.Report()+usersPause, log),
-	}
-	c.deps.Unreached, c.deps.PeerInReach = c.peers.Unreached, c.peers.ReachesAny
-	c.lastWorker.Store(-1 << 50)
-	// A node begins as if it had just been of use: when all were restarted, the
-	// load balancer is to know them again by the time one of them leads.
-	c.lastUseful.Store(int64(clock.Steady()))
-	lease.Connected = func() bool {
-		return len(s.Others) == 0 || c.peers.ReachesAny() || clock.Steady()-units.Micros(c.lastWorker.Load()) < linkFresh
-	}
-	lease.Able = func() bool { return !format.Newer() }
-	metrics.Gauge("dunestand_fleet_format", func() float64 { return float64(format.Level()) })
-	metrics.Gauge("dunestand_lease_remaining_seconds", func() float64 { return lease.Remaining().Seconds() })
-	metrics.Gauge("dunestand_state_requests_total", func() float64 { return float64(store.Stats.Requests.Load()) })
-	metrics.Gauge("dunestand_state_writes_total", func() float64 { return float64(store.Stats.Writes.Load()) })
-	metrics.Gauge("dunestand_state_refused_total", func() float64 { return float64(store.Stats.Refused.Load()) })
-	metrics.Gauge("dunestand_state_unanswered_total", func() float64 { return float64(store.Stats.Uncertain.Load()) })
-	metrics.Gauge("dunestand_state_write_limit", func() float64 { return s.Fleet.State.WriteRPS })
-	metrics.Gauge("dunestand_state_request_limit", func() float64 { return s.Fleet.State.RPS })
-	metrics.addRuntime()
-	c.routes()
-	return c
-}
-
 // Run serves on the two listeners until ctx ends.
 func (c *Controller) Run(ctx context.Context, clients, mesh net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -120,11 +44,7 @@
 		func() { c.logRuntime(ctx) },
 		func() { c.deps.Format.Run(ctx, func() bool { return c.leading() != nil }) },
 		func() { c.deps.Lease.Run(ctx, c.lead) },
-		func() {
-			if c.deps.Admitter != nil {
-				c.deps.Admitter.follow(ctx)
-			}
-		},
+		func() { c.deps.Admitter.follow(ctx) },
 	} {
 		wg.Add(1)
 		go func() {
--- a/internal/standin/admissioncheck/checker.go
+++ b/internal/standin/admissioncheck/checker.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -142,6 +143,20 @@
 	becomesDurable // not an answer: the job's record was stored
 )
 
+// Read tells what an answer to a submission says, and by which plan a job has to wait.
+func Read(status int, body []byte) (kind AnswerKind, plan uint64) {
+	switch status {
+	case http.StatusOK, http.StatusCreated:
+		return SaysAccepted, 0
+	case http.StatusTooManyRequests:
+		var p protocol.Problem
+		if protocol.Decode(body, &p) == nil && p.Plan > 0 {
+			return SaysWait, p.Plan
+		}
+	}
+	return SaysNothing, 0
+}
+
 // Answered notes an answer to a submission, and when it was asked for.
 func (c *Checker) Answered(user int, id string, asked time.Time, kind AnswerKind, plan uint64) {
 	c.mu.Lock()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -174,7 +174,8 @@
 	s.note(protocol.KeyChange{Set: key, Value: value, Version: s.revision})
 }
 
-func (s *State) currentRevision() uint64 {
+// Revision counts the transactions that were carried out.
+func (s *State) Revision() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
@@ -268,7 +269,7 @@
 	case r.URL.Path == protocol.PathChanges:
 		s.serveChanges(w, r)
 	case r.URL.Path == protocol.PathKeys:
-		revision := s.currentRevision() // before the keys: what changes meanwhile is told again
+		revision := s.Revision() // before the keys: what changes meanwhile is told again
 		list := protocol.ItemList{Items: []protocol.Item{}}
 		for _, k := range s.Keys(r.URL.Query().Get("prefix")) {
 			if item, ok := s.Get(k); ok && k > r.URL.Query().Get("from") {
--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -50,6 +50,12 @@
 }
 
 func newBurst(t *testing.T) *burst {
+	b := newBurstWith(t, burstPolicy(t))
+	b.waitActive()
+	return b
+}
+
+func newBurstWith(t *testing.T, policy *config.Policy) *burst {
 	state := standin.NewState()
 	b := &burst{
 		checker: admissioncheck.New(state),
@@ -65,10 +71,9 @@
 			{Name: "mill", CPUs: burstCPUs, CPUsMax: 2 * burstCPUs},
 			{Name: "dye", CPUs: burstCPUs, CPUsMax: 2 * burstCPUs},
 		},
-		policy: burstPolicy(t),
+		policy: policy,
 		state:  state,
 	})
-	b.waitActive()
 	return b
 }
 
@@ -111,16 +116,8 @@
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	kind, plan := admissioncheck.SaysNothing, uint64(0)
-	switch resp.StatusCode {
-	case http.StatusOK, http.StatusCreated:
-		kind = admissioncheck.SaysAccepted
-	case http.StatusTooManyRequests:
-		var p protocol.Problem
-		_ = protocol.Decode(body, &p)
-		kind, plan = admissioncheck.SaysWait, p.Plan
-	case http.StatusServiceUnavailable:
-	default:
+	kind, plan := admissioncheck.Read(resp.StatusCode, body)
+	if kind == admissioncheck.SaysNothing && resp.StatusCode != http.StatusServiceUnavailable {
 		b.t.Errorf("%v: status %d", job["uid"], resp.StatusCode)
 	}
 	b.checker.Answered(user, job["uid"].(string), asked, kind, plan)
--- a/node/admissionday_test.go
+++ b/node/admissionday_test.go
@@ -62,14 +62,10 @@
 	var s protocol.JobState
 	_ = protocol.Decode(body, &s)
 	d.rules.Answered(j.ID, false, status, s.Stage)
-	switch status {
-	case http.StatusOK, http.StatusCreated:
-		d.checker.Answered(user, j.ID, asked, admissioncheck.SaysAccepted, 0)
+	kind, plan := admissioncheck.Read(status, body)
+	d.checker.Answered(user, j.ID, asked, kind, plan)
+	if kind == admissioncheck.SaysAccepted {
 		return true
-	case http.StatusTooManyRequests:
-		var p protocol.Problem
-		_ = protocol.Decode(body, &p)
-		d.checker.Answered(user, j.ID, asked, admissioncheck.SaysWait, p.Plan)
 	}
 	after := time.Second
 	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil {
--- /dev/null
+++ b/node/admissionmeasure_test.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dunestand/internal/config"
+	"dunestand/internal/protocol"
+	"dunestand/internal/standin/admissioncheck"
+)
+
+var measure = flag.Bool("measure", false, "run the measurements that take minutes")
+
+// times is a distribution of times in milliseconds.
+type times struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newTimes() *times { return &times{h: hdrhistogram.New(1, 600_000, 3)} }
+
+func (d *times) add(t time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.h.RecordValue(max(t.Milliseconds(), 1)) // within ten minutes
+}
+
+func (d *times) String() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return fmt.Sprintf("%d: half %d ms, nine in ten %d ms, 99 in 100 %d ms, most %d ms", d.h.TotalCount(),
+		d.h.ValueAtQuantile(50), d.h.ValueAtQuantile(90), d.h.ValueAtQuantile(99), d.h.Max())
+}
+
+// measuredUser submits one job until it is accepted, and asks until it is done.
+func (b *burst) measuredUser(id int, team string, answers, accepted, done *times) {
+	job := burstJob(id, team, "lot")
+	spec, err := protocol.ParseSubmission(protocol.Encode(job))
+	if err != nil {
+		b.t.Error(err)
+		return
+	}
+	b.checker.Submitted(*spec)
+	began := time.Now()
+	for {
+		asked := time.Now()
+		kind, wait := b.submitOnce(id, b.number(burstNodes), job)
+		answers.add(time.Since(asked))
+		if kind == admissioncheck.SaysAccepted {
+			break
+		}
+		if time.Since(began) > time.Minute {
+			return
+		}
+		time.Sleep(max(wait, time.Second))
+	}
+	accepted.add(time.Since(began))
+	for time.Since(began) < 3*time.Minute {
+		_, state, _ := b.request(b.number(burstNodes), http.MethodGet, "/submissions/"+spec.ID, nil)
+		if state.Stage == protocol.StageDone {
+			done.add(time.Since(began))
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// One team floods for 30 s with ten times what it may do; the other one comes 10 s later
+// with four fifths of what is guaranteed to it. With the admission of jobs on and off.
+func TestMeasureAdmission(t *testing.T) {
+	if !*measure {
+		t.Skip("takes minutes: run with -measure")
+	}
+	for _, policy := range []*config.Policy{burstPolicy(t), nil} {
+		b := newBurstWith(t, policy)
+		if policy != nil {
+			b.waitActive()
+		} else {
+			b.leader()
+			time.Sleep(3 * time.Second)
+		}
+		answers := newTimes()
+		accepted := map[string]*times{"mill": newTimes(), "dye": newTimes()}
+		done := map[string]*times{"mill": newTimes(), "dye": newTimes()}
+		var users sync.WaitGroup
+		offer := func(first int, team string, perSecond float64, lasts time.Duration) {
+			for i := range int(perSecond * lasts.Seconds()) {
+				users.Add(1)
+				go func() {
+					defer users.Done()
+					b.measuredUser(first+i, team, answers, accepted[team], done[team])
+				}()
+				time.Sleep(time.Duration(float64(time.Second) / perSecond))
+			}
+		}
+		before := b.plan.state.Revision()
+		began := time.Now()
+		users.Add(2)
+		go func() { defer users.Done(); offer(0, "mill", 10*burstRate, 30*time.Second) }()
+		go func() {
+			defer users.Done()
+			time.Sleep(10 * time.Second)
+			offer(firstUsual, "dye", 0.8*burstRate, 20*time.Second)
+		}()
+		time.Sleep(31 * time.Second)
+		restored := time.Now()
+		for leader := b.leader(); policy != nil && !strings.Contains(b.metrics(leader), "dunestand_admission_restricted_cells 0"); {
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("on: %v; after the flood nothing is restricted after %v", policy != nil, time.Since(restored).Round(100*time.Millisecond))
+		users.Wait()
+		took := time.Since(began).Seconds()
+		t.Logf("answers: %v, %.0f a second; transactions %d; plans %d", answers, float64(answers.h.TotalCount())/took, b.plan.state.Revision()-before, b.checker.Plans())
+		for _, team := range []string{"mill", "dye"} {
+			t.Logf("%s: accepted %v; done %v", team, accepted[team], done[team])
+		}
+		if broken := b.checker.Verdicts(); policy != nil && len(broken) > 0 {
+			t.Errorf("%v", broken)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"dunestand/internal/admission"
 	"dunestand/internal/config"
 	"dunestand/internal/coordination"
 	"dunestand/internal/units"
@@ -23,10 +24,17 @@
 	Random *rand.Rand
 	Log    *slog.Logger
 	Policy *config.Policy
-	Listen func(ctx context.Context, addr string) (net.Listener, error)
-	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Admission says how new jobs are admitted under overload, in place of the policy.
+	// All controllers of a fleet must be given the same.
+	Admission *AdmissionOptions
+	Listen    func(ctx context.Context, addr string) (net.Listener, error)
+	Dial      func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
+// AdmissionOptions are the choices about the admission of new jobs under overload. The
+// zero value turns it off.
+type AdmissionOptions = admission.Options
+
 // Node is one controller.
 type Node struct {
 	settings *config.Settings
@@ -102,5 +110,7 @@
 		Random: d.Random,
 		Log:    d.Log,
 		Dial:   d.Dial,
+
+		Admission: d.Admission,
 	}).Run(ctx, clients, mesh)
 }
