Answer a used-up quota with 429, keep waiting demand as sums, store plans as lists

Cause: a leader's 503 makes the controller that passed a submission on accept it by its own part of the quota, so a quota that was used up went on being admitted elsewhere, up to twice. And 12 teams that are all restricted did not fit a value of 1 KiB.

Change: undecided answers of the leader are 429 without a plan's version. The waiting list keeps sums by cell and lists only jobs that need a turn; plans are made when one may be written. Teams and cells are stored as lists.

--- a/internal/admission/helpers_test.go
+++ b/internal/admission/helpers_test.go
@@ -68,7 +68,7 @@
 
 func (f *fleet) measure() Measurement {
 	f.waiting.Expire(f.now)
-	m := Measurement{Now: f.now, Fleet: f.capacity, Waiting: f.waiting.Snapshot(), Corrections: f.corrections.Snapshot()}
+	m := Measurement{Now: f.now, Fleet: f.capacity, Waiting: f.waiting.Demand(), Corrections: f.corrections.Snapshot()}
 	for cell, work := range f.backlog {
 		m.Loads = append(m.Loads, Load{Cell: cell, Work: work})
 	}
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -19,7 +19,7 @@
 	Now     units.Micros
 	Fleet   Amounts // of the machines that are there
 	Loads   []Load
-	Waiting []WaitingJob // the longest waiting first
+	Waiting WaitingDemand
 	// Corrections are those of the teams; one that is missing has Exact.
 	Corrections map[string]PerMille
 }
@@ -203,8 +203,8 @@
 	for _, load := range b.measured.Loads {
 		add(load.Cell, cellDemand{backlog: load.Work})
 	}
-	for _, job := range b.measured.Waiting {
-		add(job.Cell, cellDemand{waiting: job.Cost})
+	for cell, work := range b.measured.Waiting.Work {
+		add(cell, cellDemand{waiting: work})
 	}
 	return teams
 }
@@ -343,7 +343,7 @@
 	}
 	named := b.next.named
 	for _, again := range []bool{true, false} { // whose turn it is keeps it
-		for _, job := range b.measured.Waiting {
+		for _, job := range b.measured.Waiting.Large {
 			left, gated := credit[job.Cell]
 			if !gated || named[job.ID] || b.planner.last.named[job.ID] != again || len(named) == maxTurns {
 				continue
--- a/internal/admission/record.go
+++ b/internal/admission/record.go
@@ -31,21 +31,36 @@
 	Turns    []string     `cbor:"turns" json:"turns"`
 }
 
+// teamRecord is a team's gate. It and cellRecord are stored as lists of their fields, for
+// there are many of them.
 type teamRecord struct {
-	Name       string   `cbor:"t" json:"t"`
-	Pool       Pool     `cbor:"p" json:"p"`
-	Quota      int64    `cbor:"q" json:"q"`
-	LargeAbove int64    `cbor:"l" json:"l"`
-	Correction PerMille `cbor:"e" json:"e"`
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	Pool       Pool
+	Quota      int64
+	LargeAbove int64
+	Correction PerMille
 }
 
+// MarshalJSON gives the list that is stored, for its size.
+func (t teamRecord) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{t.Name, t.Pool, t.Quota, t.LargeAbove, t.Correction})
+}
+
+// cellRecord is a cell's gate.
 type cellRecord struct {
-	Team  int    `cbor:"t" json:"t"` // its place among the teams
-	Class string `cbor:"c" json:"c"`
-	Band  Band   `cbor:"b" json:"b"`
-	Start uint32 `cbor:"s" json:"s"`
-	Width uint32 `cbor:"w" json:"w"`
-	Quota int64  `cbor:"q" json:"q"`
+	_     struct{} `cbor:",toarray"`
+	Team  int      // its place among the teams
+	Class string
+	Band  Band
+	Start uint32
+	Width uint32
+	Quota int64
+}
+
+// MarshalJSON gives the list that is stored, for its size.
+func (c cellRecord) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{c.Team, c.Class, c.Band, c.Start, c.Width, c.Quota})
 }
 
 // storedUnit is how much Work makes one in a record.
--- a/internal/admission/record_test.go
+++ b/internal/admission/record_test.go
@@ -47,7 +47,7 @@
 	if plan.Gates() < 48 {
 		t.Fatalf("only %d cells are restricted", plan.Gates())
 	}
-	for _, most := range []int{16 << 10, 8 << 10, 4 << 10} {
+	for _, most := range []int{8 << 10, 2 << 10, 1 << 10} {
 		raw, held, err := Encode(plan, most)
 		if err != nil || held.record().size() > most {
 			t.Fatalf("%d bytes: %v", most, err)
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"dunestand/internal/units"
@@ -24,31 +25,49 @@
 	last  units.Micros
 }
 
+// WaitingDemand is the demand of the jobs that wait.
+type WaitingDemand struct {
+	Work  map[Cell]Work
+	Large []WaitingJob // those that need a turn, the longest waiting first
+}
+
 // WaitingList remembers on the leader which jobs were told to come back: they are demand
 // that is not met. Nothing of it is stored; a later leader learns it anew as users come
 // back. It is not safe for concurrent use.
 type WaitingList struct {
 	jobs map[string]*WaitingJob
+	work map[Cell]Work // of all jobs
 	// unknown holds the jobs that no record told of when this leader looked.
 	unknown map[string]bool
 }
 
 // NewWaitingList makes an empty list.
 func NewWaitingList() *WaitingList {
-	return &WaitingList{jobs: map[string]*WaitingJob{}, unknown: map[string]bool{}}
+	return &WaitingList{jobs: map[string]*WaitingJob{}, work: map[Cell]Work{}, unknown: map[string]bool{}}
 }
 
 // Add notes that a job was told to come back.
 func (l *WaitingList) Add(id string, d Decision, now units.Micros) {
 	job := l.jobs[id]
-	if job == nil {
-		if len(l.jobs) >= maxWaiting {
-			return
-		}
+	switch {
+	case job != nil:
+		l.count(job, -1)
+	case len(l.jobs) >= maxWaiting:
+		return
+	default:
 		job = &WaitingJob{ID: id, Since: now}
 		l.jobs[id] = job
 	}
 	job.Cell, job.Cost, job.last = d.Cell, d.Cost, now
+	l.count(job, 1)
+}
+
+// count adds a job's work to its cell's, or takes it off.
+func (l *WaitingList) count(job *WaitingJob, sign Work) {
+	l.work[job.Cell] += sign * job.Cost
+	if l.work[job.Cell] == 0 {
+		delete(l.work, job.Cell)
+	}
 }
 
 // SetUnknown notes that no record tells of a job that waits. Only this leader's own
@@ -62,14 +81,16 @@
 // IsUnknown tells whether SetUnknown was called for a job since it waits.
 func (l *WaitingList) IsUnknown(id string) bool { return l.unknown[id] }
 
-// Remove takes a job out: it was admitted. It gives since when it waited.
+// Remove takes a job out: it was admitted, or did not come back. It gives since when it
+// waited.
 func (l *WaitingList) Remove(id string) (since units.Micros, waited bool) {
 	job := l.jobs[id]
-	delete(l.jobs, id)
-	delete(l.unknown, id)
 	if job == nil {
 		return 0, false
 	}
+	l.count(job, -1)
+	delete(l.jobs, id)
+	delete(l.unknown, id)
 	return job.Since, true
 }
 
@@ -77,8 +98,7 @@
 func (l *WaitingList) Expire(now units.Micros) {
 	for id, job := range l.jobs {
 		if now-job.last > WaitingMemory {
-			delete(l.jobs, id)
-			delete(l.unknown, id)
+			l.Remove(id)
 		}
 	}
 }
@@ -86,14 +106,16 @@
 // Len is the number of jobs that wait.
 func (l *WaitingList) Len() int { return len(l.jobs) }
 
-// Snapshot lists the jobs that wait, the longest waiting first.
-func (l *WaitingList) Snapshot() []WaitingJob {
-	out := make([]WaitingJob, 0, len(l.jobs))
+// Demand gives the demand of the jobs that wait.
+func (l *WaitingList) Demand() WaitingDemand {
+	demand := WaitingDemand{Work: maps.Clone(l.work)}
 	for _, job := range l.jobs {
-		out = append(out, *job)
+		if job.Cell.Band == Large {
+			demand.Large = append(demand.Large, *job)
+		}
 	}
-	slices.SortFunc(out, func(a, b WaitingJob) int {
+	slices.SortFunc(demand.Large, func(a, b WaitingJob) int {
 		return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.ID, b.ID))
 	})
-	return out
+	return demand
 }
--- a/internal/coordination/admitter_test.go
+++ b/internal/coordination/admitter_test.go
@@ -81,8 +81,10 @@
 // expectWait submits a job that has to wait.
 func (t *Term) expectWait(test *testing.T, spec *protocol.JobSpec) {
 	test.Helper()
-	if r := t.Submit(test.Context(), spec); r.Status != http.StatusTooManyRequests || r.RetryAfter < 1 {
-		test.Fatalf("%s is not told to wait: %d, Retry-After %d", spec.ID, r.Status, r.RetryAfter)
+	var p protocol.Problem
+	r := t.Submit(test.Context(), spec)
+	if err := protocol.Decode(r.Body, &p); err != nil || r.Status != http.StatusTooManyRequests || p.Plan == 0 || r.RetryAfter < 1 {
+		test.Fatalf("%s is not told to wait: %d by plan %d, Retry-After %d", spec.ID, r.Status, p.Plan, r.RetryAfter)
 	}
 }
 
@@ -189,8 +191,10 @@
 	if err := term.renewPlan(t.Context()); err == nil {
 		t.Fatal("the answer was not lost")
 	}
-	if r := term.Submit(t.Context(), spec); r.Status != http.StatusServiceUnavailable {
-		t.Errorf("while the plan is in doubt: %d", r.Status)
+	var p protocol.Problem
+	r := term.Submit(t.Context(), spec)
+	if err := protocol.Decode(r.Body, &p); err != nil || r.Status != http.StatusTooManyRequests || p.Plan != 0 {
+		t.Errorf("while the plan is in doubt: %d by plan %d, %v", r.Status, p.Plan, err)
 	}
 	s.Silent = nil
 	written := term.admission.publisher.version + 1
@@ -203,6 +207,32 @@
 	term.expectWait(t, spec)
 }
 
+// A job whose quota is used up is answered so that a controller that passed it on does not
+// admit it by its own part of the quota.
+func TestUsedUpQuotaIsNotPassedOn(t *testing.T) {
+	s := standin.NewState()
+	term := admittingTerm(t, 1, s)
+	if err := term.renewPlan(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	const most = 100
+	for i := range most {
+		spec := admittedSpec(fmt.Sprintf("j-%06d", i), "team", 1)
+		term.mu.Lock()
+		d := term.admit(spec)
+		term.mu.Unlock()
+		if d.Verdict == admission.Admit {
+			continue
+		}
+		r := term.refuseForNow(t.Context(), spec.ID, d)
+		if d.Verdict != admission.Undecided || r.Status != http.StatusTooManyRequests || r.RetryAfter != 1 {
+			t.Errorf("%v: %d, Retry-After %d", d.Verdict, r.Status, r.RetryAfter)
+		}
+		return
+	}
+	t.Error("the quota is never used up")
+}
+
 // A plan of a former leader never replaces one of its successor, nor is it written after
 // the successor has claimed the buckets.
 func TestFormerLeaderWritesNoPlan(t *testing.T) {
--- a/internal/coordination/planpublisher.go
+++ b/internal/coordination/planpublisher.go
@@ -100,7 +100,7 @@
 		return errPlanUnreadable
 	}
 	now := p.term.Clock.Steady()
-	if p.sentAt != 0 && now-p.sentAt < planSoonest {
+	if p.sentAt != 0 && now-p.sentAt < leastPause(asked) {
 		return nil
 	}
 	proposal := p.planner.Next(p.version+1, p.term.number, p.term.measure(now))
@@ -127,13 +127,20 @@
 
 var errPlanUnreadable = errors.New("the plan's record is not readable")
 
+// leastPause is the time between two plans.
+func leastPause(asked bool) units.Micros {
+	if asked {
+		return planSoonest
+	}
+	return planLeast
+}
+
 // due tells whether a plan is to be written now.
 func (p *planPublisher) due(plan *admission.Plan, now units.Micros, asked bool) bool {
-	age := now - p.sentAt
-	switch {
-	case p.sentAt == 0, age >= admission.Lifetime/planRenewals:
+	if p.sentAt == 0 || now-p.sentAt >= admission.Lifetime/planRenewals {
 		return true
-	case !asked && age < planLeast, !asked && !p.failed && plan.Like(p.written):
+	}
+	if !asked && !p.failed && plan.Like(p.written) {
 		return false
 	}
 	return p.term.Store.WritesSpare() && p.pace.Allow()
--- a/internal/coordination/termadmission.go
+++ b/internal/coordination/termadmission.go
@@ -64,7 +64,9 @@
 // as one that is over, or from the inbox.
 func (t *Term) refuseForNow(ctx context.Context, id string, d admission.Decision) answer {
 	if d.Verdict == admission.Undecided {
-		return unavailable(d.Reason.String())
+		// Not 503: another controller that passed the request on would take that for a
+		// leader that cannot decide, and admit the job beyond the quota.
+		return plainAnswer(Refuse(http.StatusTooManyRequests, d.Reason.String()))
 	}
 	if !t.surelyUnknown(id) {
 		known := t.Poll(ctx, id)
@@ -127,7 +129,7 @@
 	defer t.mu.Unlock()
 	a := &t.admission
 	a.waiting.Expire(now)
-	m := admission.Measurement{Now: now, Waiting: a.waiting.Snapshot(), Corrections: a.corrections.Snapshot()}
+	m := admission.Measurement{Now: now, Waiting: a.waiting.Demand(), Corrections: a.corrections.Snapshot()}
 	reckoning := t.Admitter.keeper.Reckoning()
 	for _, j := range t.ledger.Jobs {
 		if !j.Cancelled {
--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -26,6 +26,8 @@
 	burstHorizon = 10 // seconds
 	burstCPUs    = 8  // guaranteed to each team
 	burstTasks   = 2  // of a job, one processor and second each
+	// For more jobs than a burst has.
+	burstMemoryMB = 100
 	// What a team's guarantee can do in a second, in jobs.
 	burstRate = burstCPUs / burstTasks
 )
@@ -50,12 +52,12 @@
 }
 
 func newBurst(t *testing.T) *burst {
-	b := newBurstWith(t, burstPolicy(t))
+	b := newBurstWith(t, burstPolicy(t), burstMemoryMB)
 	b.waitActive()
 	return b
 }
 
-func newBurstWith(t *testing.T, policy *config.Policy) *burst {
+func newBurstWith(t *testing.T, policy *config.Policy, memoryMB float64) *burst {
 	state := standin.NewState()
 	b := &burst{
 		checker: admissioncheck.New(state),
@@ -67,6 +69,7 @@
 		machines: 8,
 		cpus:     2,
 		runs:     time.Second,
+		memoryMB: memoryMB,
 		teams: []config.Team{
 			{Name: "mill", CPUs: burstCPUs, CPUsMax: 2 * burstCPUs},
 			{Name: "dye", CPUs: burstCPUs, CPUsMax: 2 * burstCPUs},
@@ -117,7 +120,8 @@
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
 	kind, plan := admissioncheck.Read(resp.StatusCode, body)
-	if kind == admissioncheck.SaysNothing && resp.StatusCode != http.StatusServiceUnavailable {
+	refused := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	if kind == admissioncheck.SaysNothing && !refused {
 		b.t.Errorf("%v: status %d", job["uid"], resp.StatusCode)
 	}
 	b.checker.Answered(user, job["uid"].(string), asked, kind, plan)
--- a/node/admissionmeasure_test.go
+++ b/node/admissionmeasure_test.go
@@ -73,56 +73,69 @@
 }
 
 // One team floods for 30 s with ten times what it may do; the other one comes 10 s later
-// with four fifths of what is guaranteed to it. With the admission of jobs on and off.
+// with four fifths of what is guaranteed to it. With the admission of jobs on and off, on
+// nodes with memory for all jobs and for some 390.
 func TestMeasureAdmission(t *testing.T) {
 	if !*measure {
 		t.Skip("takes minutes: run with -measure")
 	}
-	for _, policy := range []*config.Policy{burstPolicy(t), nil} {
-		b := newBurstWith(t, policy)
-		if policy != nil {
-			b.waitActive()
-		} else {
-			b.leader()
-			time.Sleep(3 * time.Second)
+	const littleMemoryMB = 5
+	for _, memoryMB := range []float64{burstMemoryMB, littleMemoryMB} {
+		for _, policy := range []*config.Policy{burstPolicy(t), nil} {
+			t.Run(fmt.Sprintf("memory=%v/on=%v", memoryMB, policy != nil), func(t *testing.T) {
+				measureBurst(t, policy, memoryMB)
+			})
 		}
-		answers := newTimes()
-		accepted := map[string]*times{"mill": newTimes(), "dye": newTimes()}
-		done := map[string]*times{"mill": newTimes(), "dye": newTimes()}
-		var users sync.WaitGroup
-		offer := func(first int, team string, perSecond float64, lasts time.Duration) {
-			for i := range int(perSecond * lasts.Seconds()) {
-				users.Add(1)
-				go func() {
-					defer users.Done()
-					b.measuredUser(first+i, team, answers, accepted[team], done[team])
-				}()
-				time.Sleep(time.Duration(float64(time.Second) / perSecond))
-			}
-		}
-		before := b.plan.state.Revision()
-		began := time.Now()
-		users.Add(2)
-		go func() { defer users.Done(); offer(0, "mill", 10*burstRate, 30*time.Second) }()
-		go func() {
-			defer users.Done()
-			time.Sleep(10 * time.Second)
-			offer(firstUsual, "dye", 0.8*burstRate, 20*time.Second)
-		}()
-		time.Sleep(31 * time.Second)
-		restored := time.Now()
-		for leader := b.leader(); policy != nil && !strings.Contains(b.metrics(leader), "dunestand_admission_restricted_cells 0"); {
-			time.Sleep(100 * time.Millisecond)
-		}
-		t.Logf("on: %v; after the flood nothing is restricted after %v", policy != nil, time.Since(restored).Round(100*time.Millisecond))
-		users.Wait()
-		took := time.Since(began).Seconds()
-		t.Logf("answers: %v, %.0f a second; transactions %d; plans %d", answers, float64(answers.h.TotalCount())/took, b.plan.state.Revision()-before, b.checker.Plans())
-		for _, team := range []string{"mill", "dye"} {
-			t.Logf("%s: accepted %v; done %v", team, accepted[team], done[team])
-		}
-		if broken := b.checker.Verdicts(); policy != nil && len(broken) > 0 {
-			t.Errorf("%v", broken)
+	}
+}
+
+// measureBurst plays one burst and logs what was measured.
+func measureBurst(t *testing.T, policy *config.Policy, memoryMB float64) {
+	const (
+		lasts  = 30 * time.Second
+		second = 10 * time.Second // the other team comes
+	)
+	b := newBurstWith(t, policy, memoryMB)
+	b.leader()
+	if policy != nil {
+		b.waitActive()
+	}
+	time.Sleep(3 * time.Second) // machines are rented and report
+	answers := newTimes()
+	accepted := map[string]*times{"mill": newTimes(), "dye": newTimes()}
+	done := map[string]*times{"mill": newTimes(), "dye": newTimes()}
+	var users sync.WaitGroup
+	offer := func(first int, team string, perSecond float64, lasts time.Duration) {
+		defer users.Done()
+		for i := range int(perSecond * lasts.Seconds()) {
+			users.Add(1)
+			go func() {
+				defer users.Done()
+				b.measuredUser(first+i, team, answers, accepted[team], done[team])
+			}()
+			time.Sleep(time.Duration(float64(time.Second) / perSecond))
 		}
 	}
+	before, began := b.plan.state.Revision(), time.Now()
+	users.Add(2)
+	go offer(0, "mill", 10*burstRate, lasts)
+	go func() {
+		time.Sleep(second)
+		offer(firstUsual, "dye", 0.8*burstRate, lasts-second)
+	}()
+	time.Sleep(lasts)
+	ended := time.Now()
+	for policy != nil && !strings.Contains(b.metrics(b.leader()), "dunestand_admission_restricted_cells 0") {
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("nothing is restricted %v after the flood", time.Since(ended).Round(100*time.Millisecond))
+	users.Wait()
+	t.Logf("answers: %v, %.0f a second; transactions %d; plans %d", answers,
+		float64(answers.h.TotalCount())/time.Since(began).Seconds(), b.plan.state.Revision()-before, b.checker.Plans())
+	for _, team := range []string{"mill", "dye"} {
+		t.Logf("%s: accepted %v; done %v", team, accepted[team], done[team])
+	}
+	if broken := b.checker.Verdicts(); policy != nil && len(broken) > 0 {
+		t.Errorf("%v", broken)
+	}
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -25,6 +25,7 @@
 	machines int
 	cpus     float64 // of a machine
 	runs     time.Duration
+	memoryMB float64 // of a node
 	teams    []config.Team
 	policy   *config.Policy
 	state    *standin.State
@@ -199,7 +200,7 @@
 			Workers:   config.Workers{ReportS: 0.1, LeaseS: 8, CancelS: 10},
 			State:     config.State{RPS: 1000, WriteRPS: 800, ValueKB: 8, TxnOps: 12},
 			Cloud:     config.Cloud{RPS: 50},
-			Resources: config.Resources{CoreShare: 1, RAMMB: 100, MaxConnections: 400},
+			Resources: config.Resources{CoreShare: 1, RAMMB: c.plan.memoryMB, MaxConnections: 400},
 		},
 	}
 	return m
@@ -252,6 +253,7 @@
 		machines: 3,
 		cpus:     4,
 		runs:     300 * time.Millisecond,
+		memoryMB: 100,
 		teams:    []config.Team{{Name: "team", CPUs: 8, CPUsMax: 12}},
 		state:    standin.NewState(),
 	})
