Divide the restore by what it reads; test a share for an unknown team at the command line

restore was one function of 56 lines; what makes records unreadable is a sentinel error now. No change of behaviour; the tests of restores and formats pass.

--- a/cmd/dunestand/main_test.go
+++ b/cmd/dunestand/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -52,6 +53,16 @@
 			t.Errorf("%v: %q is not one line", args, err)
 		}
 	}
+	settings, err := json.Marshal(processSettings(0, "127.0.0.1:1", []string{"127.0.0.1:2"}, "127.0.0.1:3", "127.0.0.1:4"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	unknown := write("unknown.policy", "rank = 1\nadmission_team_shares = {\"nobody\": 1}\n")
+	_, err = execute("--config", write("settings.json", string(settings)), "--policy", unknown)
+	var bad badInput
+	if want := unknown + ":2:26: "; !errors.As(err, &bad) || !strings.HasPrefix(err.Error(), want) {
+		t.Errorf("a share for an unknown team: %v, want %s", err, want)
+	}
 	if _, err := execute("policy", "check", write("good.policy", "rank = waited_s * -1\n")); err != nil {
 		t.Errorf("a good policy: %v", err)
 	}
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -10,7 +11,8 @@
 	"dunestand/internal/units"
 )
 
-// restore claims the buckets and reads their jobs.
+// restore claims the buckets and reads their jobs. It tells whether it could; if not, it
+// is to be tried again.
 func (t *Term) restore(ctx context.Context) bool {
 	if err := t.claimBuckets(ctx); err != nil {
 		t.Log.Info("buckets not claimed yet", "error", err)
@@ -24,25 +26,8 @@
 		t.Lease.StandBack(standBack)
 		return false
 	}
-	rows, err := t.listAll(ctx, bookkeeping.PrefixJobs)
-	if err != nil {
-		t.Log.Info("records not read yet", "error", err)
-		return false
-	}
-	jobs, orphans, err := bookkeeping.ParseJobs(rows)
-	if err == nil {
-		for _, id := range sortedKeys(orphans) {
-			_, over, ferr := t.readFinal(ctx, id)
-			if ferr != nil {
-				t.Log.Info("records not read yet", "error", ferr)
-				return false
-			}
-			if !over {
-				err = fmt.Errorf("record %s: belongs to no job", orphans[id][0])
-			}
-		}
-	}
-	if err != nil {
+	jobs, orphans, err := t.readJobs(ctx)
+	if errors.Is(err, errUnreadable) {
 		// Leading without such a job would forget it. Another node may be of a
 		// version that reads it; if none is, nobody leads until an operator has
 		// looked.
@@ -50,13 +35,14 @@
 		t.Lease.StandBack(standBack)
 		return false
 	}
-	list, err := t.listAll(ctx, bookkeeping.KeyCatalog)
 	if err != nil {
+		t.Log.Info("records not read yet", "error", err)
 		return false
 	}
-	catalog, stored, err := bookkeeping.ParseCatalog(list)
+	catalog, stored, err := t.readStoredCatalog(ctx)
 	if err != nil {
-		t.Log.Error("stored catalog is not readable", "error", err)
+		t.Log.Info("records not read yet", "error", err)
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -68,6 +54,45 @@
 	return true
 }
 
+// errUnreadable says that a record cannot be read by this version.
+var errUnreadable = errors.New("unreadable")
+
+// readJobs reads all live jobs, and what is left over of jobs that are over, by job.
+func (t *Term) readJobs(ctx context.Context) (jobs []*bookkeeping.Job, orphans map[string][]string, err error) {
+	rows, err := t.listAll(ctx, bookkeeping.PrefixJobs)
+	if err != nil {
+		return nil, nil, err
+	}
+	jobs, orphans, err = bookkeeping.ParseJobs(rows)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errUnreadable, err)
+	}
+	for _, id := range sortedKeys(orphans) {
+		_, over, err := t.readFinal(ctx, id)
+		if err != nil {
+			return nil, nil, err
+		}
+		if !over {
+			return nil, nil, fmt.Errorf("%w: record %s: belongs to no job", errUnreadable, orphans[id][0])
+		}
+	}
+	return jobs, orphans, nil
+}
+
+// readStoredCatalog reads the catalog that a former leader stored, and the versions of its
+// records. One that cannot be read is logged, and stands for none.
+func (t *Term) readStoredCatalog(ctx context.Context) (protocol.Catalog, map[string]uint64, error) {
+	list, err := t.listAll(ctx, bookkeeping.KeyCatalog)
+	if err != nil {
+		return protocol.Catalog{}, nil, err
+	}
+	catalog, stored, err := bookkeeping.ParseCatalog(list)
+	if err != nil {
+		t.Log.Error("stored catalog is not readable", "error", err)
+	}
+	return catalog, stored, nil
+}
+
 // standBack is for how long a node that could not read the records leaves the
 // lease to others.
 const standBack = 30 * units.Second
