Show the admission plan, explain a decision, and tell how each team stands

Need: operators see that a job waits, but not why, nor how far a team is from its share.

Users' submissions in tests and measurements are one piece in standin/admissioncheck.

--- a/cmd/dunestand/main_test.go
+++ b/cmd/dunestand/main_test.go
@@ -16,7 +16,8 @@
 	c.SetArgs(args)
 	c.SetOut(&out)
 	c.SetErr(&out)
-	return out.String(), c.Execute()
+	err := c.Execute()
+	return out.String(), err
 }
 
 // Bad input at the command line is told in one line and ends with status 2.
--- a/cmd/dunestand/processes_test.go
+++ b/cmd/dunestand/processes_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -146,31 +145,15 @@
 
 // submit sends a job to a controller, as user does, and has the checker hear the answer.
 func (p *processes) submit(user, node int, job map[string]any) admissioncheck.AnswerKind {
-	asked := time.Now()
-	client := http.Client{Timeout: 5 * time.Second}
-	resp, err := client.Post("http://"+p.addrs[node]+"/submissions", "application/cbor", bytes.NewReader(protocol.Encode(job)))
-	if err != nil {
-		return admissioncheck.SaysNothing
-	}
-	defer resp.Body.Close()
-	body, _ := io.ReadAll(resp.Body)
-	kind, plan := admissioncheck.Read(resp.StatusCode, body)
-	if kind == admissioncheck.SaysWait {
-		if after, err := strconv.Atoi(resp.Header.Get("Retry-After")); err != nil || after < 1 || after > 30 {
-			p.t.Errorf("a job that waits is to come back after %q", resp.Header.Get("Retry-After"))
-		}
+	reply := p.checker.Submit(p.t.Context(), user, p.addrs[node], job)
+	if seconds := reply.RetryAfter.Seconds(); reply.Kind == admissioncheck.SaysWait && (seconds < 1 || seconds > 30) {
+		p.t.Errorf("a job that waits is to come back after %v s", seconds)
 	}
-	p.checker.Answered(user, job["uid"].(string), asked, kind, plan)
-	return kind
+	return reply.Kind
 }
 
 func processJob(id int, team string, tasks int) map[string]any {
-	return map[string]any{
-		"uid": fmt.Sprintf("j-%06d", id), "queue": "q", "crew": team, "shape": "sweep", "urgency": "normal",
-		"bolts": tasks, "vcpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "pattern": "img", "image_gb": 0.5,
-		"looms": nil, "yard": nil, "together": false, "apart": false, "borrowed": true,
-		"expect_s": 60.0, "mark_s": 0.0, "stow_s": 0.0, "due_s": nil,
-	}
+	return standin.Submission(fmt.Sprintf("j-%06d", id), team, "q", tasks, 60)
 }
 
 // flood has users of a team submit jobs one after the other through two controllers, with
@@ -198,12 +181,9 @@
 }
 
 func (p *processes) submitted(job map[string]any) {
-	spec, err := protocol.ParseSubmission(protocol.Encode(job))
-	if err != nil {
+	if err := p.checker.Announce(job); err != nil {
 		p.t.Error(err)
-		return
 	}
-	p.checker.Submitted(*spec)
 }
 
 // The program, started as the page for operators says, admits by a plan. While one team
--- /dev/null
+++ b/internal/admission/describe.go
@@ -0,0 +1,89 @@
+package admission
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"dunestand/internal/protocol"
+)
+
+// The look of tables for people.
+const (
+	columnPadding = 2
+	percent       = 100
+)
+
+// Describe writes a plan for people: its teams, the cells that it restricts and the jobs
+// that it names.
+func (p *Plan) Describe(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)
+	fmt.Fprintf(t, "plan %d of term %d\n", p.Version, p.Term)
+	fmt.Fprintf(t, "horizon\t%.0f s\n", p.Horizon.Seconds())
+	for pool, amount := range p.Capacity {
+		if amount > 0 {
+			fmt.Fprintf(t, "%v\t%g\n", Pool(pool), amount.Float())
+		}
+	}
+	p.describeTeams(t)
+	p.describeCells(t)
+	p.describeTurns(t)
+	return t.Flush()
+}
+
+func (p *Plan) describeTeams(w io.Writer) {
+	fmt.Fprintf(w, "\nteam\tpool\tquota\tlarge above\testimates\n")
+	for key, gate := range p.allTeams() {
+		fmt.Fprintf(w, "%s\t%v\t%.0f\t%.0f\tx %.2f\n", key.Team, key.Pool, gate.Quota.UnitSeconds(),
+			gate.LargeAbove.UnitSeconds(), float64(gate.Correction)/float64(Exact))
+	}
+}
+
+func (p *Plan) describeCells(w io.Writer) {
+	if p.Gates() == 0 {
+		fmt.Fprintf(w, "\nnothing is restricted\n")
+		return
+	}
+	fmt.Fprintf(w, "\nrestricted\tclass\tpool\tjobs\twindow\tquota\n")
+	for cell, gate := range p.allCells() {
+		class := cell.Class
+		if class == "" {
+			class = "(all others)"
+		}
+		window := "by name"
+		if cell.Band == Small {
+			window = fmt.Sprintf("%.0f%% from %.0f%%", ringPercent(gate.Width), ringPercent(gate.Start))
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%s\t%.0f\n", cell.Team, class, cell.Pool, cell.Band, window, gate.Quota.UnitSeconds())
+	}
+}
+
+func ringPercent(positions uint32) float64 { return float64(positions) / Ring * percent }
+
+func (p *Plan) describeTurns(w io.Writer) {
+	if p.Turns() == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nlarge jobs whose turn it is\n")
+	for id := range p.allTurns() {
+		fmt.Fprintln(w, id)
+	}
+}
+
+// Explain writes what a plan says about a job, and why.
+func (p *Plan) Explain(w io.Writer, job *protocol.JobSpec) error {
+	d := p.Decide(job)
+	t := tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)
+	fmt.Fprintf(t, "%s\t%v by plan %d\n", job.ID, d.Verdict, p.Version)
+	if d.Verdict != Admit {
+		fmt.Fprintf(t, "why\t%v\n", d.Reason)
+		fmt.Fprintf(t, "again after\t%.1f s\n", d.RetryAfter.Seconds())
+	}
+	fmt.Fprintf(t, "reckoned as\t%v job of %s, class %s, by %v\n", d.Cell.Band, d.Cell.Team, d.Cell.Class, d.Cell.Pool)
+	fmt.Fprintf(t, "work\t%.0f %v seconds\n", d.Cost.UnitSeconds(), d.Cell.Pool)
+	if gate, _, gated := p.Gate(d.Cell); gated && d.Cell.Band == Small {
+		fmt.Fprintf(t, "position\t%.0f%%; the window has %.0f%% from %.0f%%\n", ringPercent(position(job.ID)),
+			ringPercent(gate.Width), ringPercent(gate.Start))
+	}
+	return t.Flush()
+}
--- a/internal/admission/keeper.go
+++ b/internal/admission/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 
 	"dunestand/internal/protocol"
@@ -28,7 +30,7 @@
 	held      Held
 	used      map[account]Work
 	floorFrom units.Micros // when the floor's accounts were opened
-	counts    Counts
+	teams     map[string]Counts
 }
 
 // Held is the plan's record as a controller knows it.
@@ -40,8 +42,8 @@
 	WrittenAfter, WrittenBefore units.Micros
 }
 
-// Counts is what a keeper has decided.
-type Counts struct{ Admitted, Waits, Undecided, AtFloor uint64 }
+// Counts is how often a keeper has decided in which way.
+type Counts struct{ Admitted, Waits, Undecided uint64 }
 
 // NewKeeper makes a keeper for one of several controllers. Until it gets a plan the
 // built-in floor is in force.
@@ -50,6 +52,7 @@
 		floor: Floor(options, teams),
 		nodes: max(nodes, 1),
 		used:  map[account]Work{},
+		teams: map[string]Counts{},
 	}
 }
 
@@ -181,11 +184,10 @@
 	s := k.state(now)
 	switch s.Force {
 	case Unclear:
-		k.counts.Undecided++
+		k.count(job.Team, Undecided)
 		return Decision{Verdict: Undecided, Reason: PlanUnclear, RetryAfter: undecidedWait}, s.Revision
 	case ByFloor:
 		k.openFloor(now)
-		k.counts.AtFloor++
 	}
 	d = s.Plan.Decide(job)
 	if d.Verdict == Admit && d.charged {
@@ -199,7 +201,7 @@
 			k.used[d.account] = k.used[d.account].Plus(d.Cost)
 		}
 	}
-	k.count(d.Verdict)
+	k.count(job.Team, d.Verdict)
 	return d, s.Revision
 }
 
@@ -222,20 +224,33 @@
 	return gate.Quota
 }
 
-func (k *Keeper) count(v Verdict) {
+// count counts a decision about a team's job.
+func (k *Keeper) count(team string, v Verdict) {
+	counts := k.teams[team]
 	switch v {
 	case Admit:
-		k.counts.Admitted++
+		counts.Admitted++
 	case Wait:
-		k.counts.Waits++
+		counts.Waits++
 	case Undecided:
-		k.counts.Undecided++
+		counts.Undecided++
 	}
+	k.teams[team] = counts
 }
 
-// Counts tells what was decided so far.
-func (k *Keeper) Counts() Counts {
+// TeamCounts is what was decided about a team's jobs.
+type TeamCounts struct {
+	Team string
+	Counts
+}
+
+// CountsByTeam tells what was decided so far, in the order of the teams' names.
+func (k *Keeper) CountsByTeam() []TeamCounts {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.counts
+	out := make([]TeamCounts, 0, len(k.teams))
+	for _, team := range slices.Sorted(maps.Keys(k.teams)) {
+		out = append(out, TeamCounts{Team: team, Counts: k.teams[team]})
+	}
+	return out
 }
--- a/internal/admission/keeper_test.go
+++ b/internal/admission/keeper_test.go
@@ -129,4 +129,8 @@
 	if admitted < rate || admitted > rate*13/10 {
 		t.Errorf("%d are admitted, the guarantee does %d", admitted, rate)
 	}
+	counts := k.CountsByTeam()
+	if len(counts) != 1 || counts[0].Team != "mill" || counts[0].Admitted+counts[0].Undecided != lasts*10 || counts[0].Waits != 0 {
+		t.Errorf("counted: %+v", counts)
+	}
 }
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -21,6 +21,13 @@
 	Bands = 2
 )
 
+func (b Band) String() string {
+	if b == Large {
+		return "large"
+	}
+	return "small"
+}
+
 // Cell is a group of jobs with a share of its own.
 type Cell struct {
 	Team  string
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -47,8 +47,9 @@
 
 // Proposal is a plan that was made and may yet be written.
 type Proposal struct {
-	Plan *Plan
-	next progress
+	Plan      *Plan
+	Standings []Standing // of the teams, by which the plan was made
+	next      progress
 }
 
 // maxTurns bounds the jobs that one plan names.
@@ -96,7 +97,7 @@
 	}
 	builder.nameTurns()
 	plan.setCells(builder.gates)
-	return Proposal{Plan: plan, next: builder.next}
+	return Proposal{Plan: plan, Standings: builder.standings, next: builder.next}
 }
 
 // Accept takes over that a proposal was written: the next plan goes on from it.
@@ -124,6 +125,8 @@
 	gates    map[Cell]CellGate
 	credits  []largeCredit
 	next     progress
+
+	standings []Standing
 }
 
 // largeCredit is what the large jobs of a cell may still take.
@@ -237,6 +240,7 @@
 		gate.Quota = max(min(s.unclaimed, s.limit-s.demand.backlog), s.floor-s.demand.backlog, 0)
 	}
 	b.plan.setTeam(teamKey{Team: team.Name, Pool: pool}, gate)
+	b.standings = append(b.standings, s.standing(team.Name, pool))
 }
 
 // restrict divides a team's share among its classes and these among small and large jobs,
--- /dev/null
+++ b/internal/admission/standing.go
@@ -0,0 +1,33 @@
+package admission
+
+// Standing is how a team stood in a pool when a plan was made. All of it is work within the
+// plan's horizon.
+type Standing struct {
+	Team       string
+	Pool       Pool
+	Guaranteed Work
+	Share      Work // what it gets, by what it has and wants
+	Backlog    Work // of its unfinished jobs
+	Waiting    Work // of jobs that were told to come back
+	Restricted bool // it wants more than it gets
+}
+
+// Excess is what a team has beyond its share: admitted before others came back, or beyond a
+// quota by the last job of a version.
+func (s Standing) Excess() Work { return max(s.Backlog-s.Share, 0) }
+
+// UnitSeconds gives some work in units of the resource times seconds, for display.
+func (w Work) UnitSeconds() float64 { return float64(w) / storedUnit }
+
+// standing gives a team's standing by its share.
+func (s teamShare) standing(team string, pool Pool) Standing {
+	return Standing{
+		Team:       team,
+		Pool:       pool,
+		Guaranteed: s.floor,
+		Share:      s.share,
+		Backlog:    s.demand.backlog,
+		Waiting:    s.demand.waiting,
+		Restricted: s.contested(),
+	}
+}
--- a/internal/coordination/admitter.go
+++ b/internal/coordination/admitter.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -88,9 +90,6 @@
 		return 0
 	}
 	now := func() admission.State { return a.keeper.Now(a.clock.Steady()) }
-	count := func(of func(admission.Counts) uint64) func() float64 {
-		return func() float64 { return float64(of(a.keeper.Counts())) }
-	}
 	a.metrics.Gauge("dunestand_admission_active", func() float64 { return truth(a.active()) })
 	a.metrics.Gauge("dunestand_admission_held_back", func() float64 { return truth(!a.active()) })
 	a.metrics.Gauge("dunestand_admission_plan_unreadable", func() float64 { return truth(a.unreadable.Load() != 0) })
@@ -107,9 +106,16 @@
 		}
 		return 0
 	})
-	a.metrics.Gauge("dunestand_admission_admitted_total", count(func(c admission.Counts) uint64 { return c.Admitted }))
-	a.metrics.Gauge("dunestand_admission_waits_total", count(func(c admission.Counts) uint64 { return c.Waits }))
-	a.metrics.Gauge("dunestand_admission_undecided_total", count(func(c admission.Counts) uint64 { return c.Undecided }))
+	a.metrics.addWriter(a.writeCounts)
+}
+
+// writeCounts writes what this controller has decided, by team.
+func (a *admitter) writeCounts(w io.Writer) {
+	for _, c := range a.keeper.CountsByTeam() {
+		fmt.Fprintf(w, "dunestand_admission_admitted_total{team=%q} %d\n", c.Team, c.Admitted)
+		fmt.Fprintf(w, "dunestand_admission_waits_total{team=%q} %d\n", c.Team, c.Waits)
+		fmt.Fprintf(w, "dunestand_admission_undecided_total{team=%q} %d\n", c.Team, c.Undecided)
+	}
 }
 
 // active tells whether jobs are admitted by the plan: it is turned on, and every
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -17,8 +18,12 @@
 	set       *metrics.Set
 	placement *metrics.Histogram
 	admission *metrics.Histogram
+	writers   []func(io.Writer)
 }
 
+// addWriter adds lines whose labels are known only when they are asked for.
+func (m *Metrics) addWriter(write func(io.Writer)) { m.writers = append(m.writers, write) }
+
 // NewMetrics makes the metrics of one node.
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
@@ -72,8 +77,12 @@
 func (m *Metrics) Text(term *Term) []byte {
 	var b bytes.Buffer
 	m.set.WritePrometheus(&b)
+	for _, write := range m.writers {
+		write(&b)
+	}
 	if term != nil {
 		term.writeQueue(&b)
+		term.admission.publisher.writeStandings(&b)
 	}
 	return b.Bytes()
 }
--- a/internal/coordination/planpublisher.go
+++ b/internal/coordination/planpublisher.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -30,6 +33,8 @@
 	failed   bool         // it is not known whether that one was written, or it was not
 	tooLarge bool         // the last plan did not fit, and that was logged
 	pace     *rate.Limiter
+
+	standings atomic.Pointer[[]admission.Standing] // of the teams, by the last proposal
 }
 
 func newPlanPublisher(admitter *admitter, term *Term) *planPublisher {
@@ -48,6 +53,27 @@
 	plansAtOnce    = 4
 )
 
+// writeStandings writes how the teams stand, for the metrics of the leader.
+func (p *planPublisher) writeStandings(w io.Writer) {
+	standings := p.standings.Load()
+	if standings == nil {
+		return
+	}
+	for _, s := range *standings {
+		restricted := 0
+		if s.Restricted {
+			restricted = 1
+		}
+		labels := fmt.Sprintf("{team=%q,pool=%q}", s.Team, s.Pool.String())
+		fmt.Fprintf(w, "dunestand_admission_share_unit_seconds%s %g\n", labels, s.Share.UnitSeconds())
+		fmt.Fprintf(w, "dunestand_admission_guaranteed_unit_seconds%s %g\n", labels, s.Guaranteed.UnitSeconds())
+		fmt.Fprintf(w, "dunestand_admission_backlog_unit_seconds%s %g\n", labels, s.Backlog.UnitSeconds())
+		fmt.Fprintf(w, "dunestand_admission_waiting_unit_seconds%s %g\n", labels, s.Waiting.UnitSeconds())
+		fmt.Fprintf(w, "dunestand_admission_excess_unit_seconds%s %g\n", labels, s.Excess().UnitSeconds())
+		fmt.Fprintf(w, "dunestand_admission_restricted%s %d\n", labels, restricted)
+	}
+}
+
 // acquire waits for the token.
 func (p *planPublisher) acquire(ctx context.Context) error {
 	select {
@@ -104,6 +130,7 @@
 		return nil
 	}
 	proposal := p.planner.Next(p.version+1, p.term.number, p.term.measure(now))
+	p.standings.Store(&proposal.Standings)
 	if !p.due(proposal.Plan, now, asked) {
 		return nil
 	}
--- /dev/null
+++ b/internal/standin/admissioncheck/user.go
@@ -0,0 +1,57 @@
+package admissioncheck
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dunestand/internal/protocol"
+)
+
+// userWaits is how long a user waits for an answer to a submission.
+const userWaits = 5 * time.Second
+
+// Reply is what a controller answered to a submission.
+type Reply struct {
+	Kind       AnswerKind
+	Status     int // 0: nothing
+	RetryAfter time.Duration
+}
+
+// Submit sends a submission to the controller at an address (IP:port), as a user does, and
+// hears the answer.
+func (c *Checker) Submit(ctx context.Context, user int, address string, job map[string]any) Reply {
+	ctx, cancel := context.WithTimeout(ctx, userWaits)
+	defer cancel()
+	asked := time.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+protocol.PathSubmit,
+		bytes.NewReader(protocol.Encode(job)))
+	if err != nil {
+		return Reply{}
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Reply{}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Reply{}
+	}
+	kind, plan := Read(response.StatusCode, body)
+	c.Answered(user, job["uid"].(string), asked, kind, plan)
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After")) // 0 if it is missing
+	return Reply{Kind: kind, Status: response.StatusCode, RetryAfter: time.Duration(seconds) * time.Second}
+}
+
+// Announce notes a job that users are about to submit.
+func (c *Checker) Announce(job map[string]any) error {
+	spec, err := protocol.ParseSubmission(protocol.Encode(job))
+	if err == nil {
+		c.Submitted(*spec)
+	}
+	return err
+}
--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -1,9 +1,7 @@
 package node
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -13,7 +11,6 @@
 	"time"
 
 	"dunestand/internal/config"
-	"dunestand/internal/protocol"
 	"dunestand/internal/standin"
 	"dunestand/internal/standin/admissioncheck"
 )
@@ -101,32 +98,18 @@
 }
 
 func burstJob(id int, team, class string) map[string]any {
-	job := submission(fmt.Sprintf("j-%06d", id), burstTasks)
-	job["crew"], job["queue"], job["vcpus"] = team, class, 1.0
-	return job
+	return standin.Submission(fmt.Sprintf("j-%06d", id), team, class, burstTasks, 1)
 }
 
-// submitOnce asks one node and has the checker hear the answer.
+// submitOnce asks one node and has the checker hear the answer. It gives how long the user
+// is to wait.
 func (b *burst) submitOnce(user, node int, job map[string]any) (admissioncheck.AnswerKind, time.Duration) {
-	asked := time.Now()
-	ctx, cancel := context.WithTimeout(b.ctx, 5*time.Second)
-	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+b.members[node].settings.ClientListen+"/submissions", strings.NewReader(string(protocol.Encode(job))))
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return admissioncheck.SaysNothing, time.Second
-	}
-	defer resp.Body.Close()
-	body, _ := io.ReadAll(resp.Body)
-	kind, plan := admissioncheck.Read(resp.StatusCode, body)
-	refused := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	if kind == admissioncheck.SaysNothing && !refused {
-		b.t.Errorf("%v: status %d", job["uid"], resp.StatusCode)
+	reply := b.checker.Submit(b.ctx, user, b.members[node].settings.ClientListen, job)
+	refused := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests
+	if reply.Kind == admissioncheck.SaysNothing && reply.Status != 0 && !refused {
+		b.t.Errorf("%v: status %d", job["uid"], reply.Status)
 	}
-	b.checker.Answered(user, job["uid"].(string), asked, kind, plan)
-	after, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
-	return kind, time.Duration(after) * time.Second
+	return reply.Kind, max(reply.RetryAfter, time.Second)
 }
 
 const (
@@ -138,12 +121,10 @@
 // accepted, or for a quarter of the time that users do. Then it is submitted once more.
 func (b *burst) user(id int, team, class string, nodes []int) {
 	job := burstJob(id, team, class)
-	spec, err := protocol.ParseSubmission(protocol.Encode(job))
-	if err != nil {
+	if err := b.checker.Announce(job); err != nil {
 		b.t.Error(err)
 		return
 	}
-	b.checker.Submitted(*spec)
 	began := time.Now()
 	said := false
 	for try := 0; b.ctx.Err() == nil; try++ {
@@ -164,7 +145,7 @@
 			b.submitOnce(id, b.number(burstNodes), job)
 			return
 		}
-		wait = max(wait, time.Second) + time.Duration(b.number(300))*time.Millisecond
+		wait += time.Duration(b.number(300)) * time.Millisecond
 		if time.Since(began)+wait > burstPatience {
 			break
 		}
--- a/node/admissionday_test.go
+++ b/node/admissionday_test.go
@@ -33,12 +33,10 @@
 // floodUser submits a job until it is accepted, or for as long as users do, and then asks
 // about it until it is over.
 func (d *day) floodUser(j standin.JobInfo) {
-	spec, err := protocol.ParseSubmission(protocol.Encode(described(j)))
-	if err != nil {
+	if err := d.checker.Announce(described(j)); err != nil {
 		d.t.Error(err)
 		return
 	}
-	d.checker.Submitted(*spec)
 	d.rules.Submitted(j)
 	number, _ := strconv.Atoi(strings.TrimPrefix(j.ID, "j-"))
 	began := time.Now()
--- a/node/admissionmeasure_test.go
+++ b/node/admissionmeasure_test.go
@@ -42,12 +42,10 @@
 // measuredUser submits one job until it is accepted, and asks until it is done.
 func (b *burst) measuredUser(id int, team string, answers, accepted, done *times) {
 	job := burstJob(id, team, "lot")
-	spec, err := protocol.ParseSubmission(protocol.Encode(job))
-	if err != nil {
+	if err := b.checker.Announce(job); err != nil {
 		b.t.Error(err)
 		return
 	}
-	b.checker.Submitted(*spec)
 	began := time.Now()
 	for {
 		asked := time.Now()
@@ -59,11 +57,11 @@
 		if time.Since(began) > time.Minute {
 			return
 		}
-		time.Sleep(max(wait, time.Second))
+		time.Sleep(wait)
 	}
 	accepted.add(time.Since(began))
 	for time.Since(began) < 3*time.Minute {
-		_, state, _ := b.request(b.number(burstNodes), http.MethodGet, "/submissions/"+spec.ID, nil)
+		_, state, _ := b.request(b.number(burstNodes), http.MethodGet, fmt.Sprintf("/submissions/j-%06d", id), nil)
 		if state.Stage == protocol.StageDone {
 			done.add(time.Since(began))
 			return
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dunestand/internal/protocol"
+	"dunestand/internal/standin"
 )
 
 func loopback(t *testing.T) net.Listener {
@@ -79,29 +80,11 @@
 	c.t.Fatalf("%s: last answer %d %+v", what, status, state)
 }
 
+// submission is a job of the one team of a small cluster, with two processors a task.
 func submission(id string, tasks int) map[string]any {
-	return map[string]any{
-		"uid":       id,
-		"queue":     "q",
-		"crew":      "team",
-		"shape":     "sweep",
-		"urgency":   "normal",
-		"bolts":     tasks,
-		"vcpus":     2.0,
-		"cards":     0.0,
-		"memory_gb": 1.0,
-		"pattern":   "img",
-		"image_gb":  0.5,
-		"looms":     nil,
-		"yard":      nil,
-		"together":  false,
-		"apart":     false,
-		"borrowed":  true,
-		"expect_s":  1.0,
-		"mark_s":    0.0,
-		"stow_s":    0.0,
-		"due_s":     nil,
-	}
+	job := standin.Submission(id, "team", "q", tasks, 1)
+	job["vcpus"] = 2.0
+	return job
 }
 
 // The whole service end to end: any node accepts, tasks run once, the leader
