--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -119,12 +119,25 @@
 	return l.state.TxnOps
 }
 
-// unlimited stands for the memory of a team, which has no limit.
-const unlimited = units.Amount(1) << 60
+// unlimited stands for what a team may use where it has no limit. It is far from the
+// bounds of Amount, so that sums and shares of it do not overflow.
+const unlimited = units.Amount(1) << 56
 
-// LimitOf is what a team's tasks may use at any time.
+// LimitOf is what a team's tasks may use at any time. A limit of 0 in the settings is
+// none: guests, for instance, have neither guarantee nor limit.
 func LimitOf(t config.Team) units.Resources {
-	return units.Resources{CPU: units.AmountOf(t.CPUsMax), GPU: units.AmountOf(t.GPUsMax), Memory: unlimited}
+	return units.Resources{
+		CPU:    limitAmount(t.CPUsMax),
+		GPU:    limitAmount(t.GPUsMax),
+		Memory: unlimited,
+	}
+}
+
+func limitAmount(setting float64) units.Amount {
+	if setting == 0 {
+		return unlimited
+	}
+	return units.AmountOf(setting)
 }
 
 // SetTypes takes over the cloud's catalog.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -50,7 +50,7 @@
 	TimeBoundMS float64     `json:"time_bound_ms"`
 }
 
-// Team is a group of users with a guarantee and a limit; 0 means none.
+// Team is a group of users with a guarantee and a limit. A guarantee or limit of 0 is none.
 type Team struct {
 	Name    string  `json:"name"`
 	CPUs    float64 `json:"cpus"`
--- a/internal/coordination/admitter.go
+++ b/internal/coordination/admitter.go
@@ -39,7 +39,7 @@
 		out[i] = admission.Team{
 			Name:      t.Name,
 			Guarantee: admission.Amounts{admission.CPU: units.AmountOf(t.CPUs), admission.GPU: units.AmountOf(t.GPUs)},
-			Limit:     admission.Amounts{admission.CPU: units.AmountOf(t.CPUsMax), admission.GPU: units.AmountOf(t.GPUsMax)},
+			Limit:     admission.AmountsOf(bookkeeping.LimitOf(t)),
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/coordination/nolimit_test.go
@@ -0,0 +1,107 @@
+package coordination
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/config"
+	"dunestand/internal/standin"
+	"dunestand/internal/units"
+)
+
+// guestTasks is more than all machines of the model and any limit have room for.
+const guestTasks = 25_000
+
+// guestTerm is a restored term with a second team that has neither guarantee nor limit,
+// and with a job of that team.
+func guestTerm(t *testing.T) *Term {
+	t.Helper()
+	term := storedTerm(t, 1, standin.NewState())
+	term.Settings.Fleet.Teams = append(term.Settings.Fleet.Teams, config.Team{Name: "guest"})
+	term.ledger = bookkeeping.NewLedger(term.Settings.Fleet.Teams, term.Settings.Fleet.State)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	if !term.restore(ctx) {
+		t.Fatal("not restored")
+	}
+	term.ledger.SetTypes(modelCatalog.Types)
+	go term.saveLoop(ctx)
+	spec := modelSpec("j-000001")
+	spec.Team = "guest"
+	spec.Tasks = guestTasks
+	spec.Need = units.Resources{CPU: units.AmountOf(0.25)}
+	if r := term.Submit(ctx, spec); r.Status != http.StatusCreated {
+		t.Fatalf("a job of a team without a limit: %d %s", r.Status, r.Body)
+	}
+	return term
+}
+
+// All jobs of a guest team were refused for good, as needing more than its limit: a limit
+// of 0 is none. Such a job is accepted, machines are rented for all of it, and its tasks
+// are placed wherever there is room.
+func TestTeamWithoutALimitIsServed(t *testing.T) {
+	term := guestTerm(t)
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	needs := term.needs()
+	if len(needs) != 1 || needs[0].Count != guestTasks {
+		t.Errorf("machines are rented for %v, want one need of %d tasks", needs, guestTasks)
+	}
+	machine := &bookkeeping.Machine{}
+	for i := range 3 {
+		machine = term.ledger.Machine(string(rune('a'+i)), "m", "a", true, 0)
+		machine.Seen, machine.Term = true, term.number
+	}
+	s, _ := term.snapshot(term.Clock.Steady(), machine)
+	s.Batch = guestTasks
+	placed := 0
+	for _, start := range Plan(&s).Starts {
+		placed += start.Count
+	}
+	if want := 3 * modelMachine * 4; placed != want {
+		t.Errorf("%d tasks placed, want the %d that three machines hold", placed, want)
+	}
+}
+
+// The summary counts teams near their limit: one without a limit never is, also where
+// nine tenths of "no limit" would be reckoned.
+func TestTeamWithoutALimitIsNeverNearIt(t *testing.T) {
+	term := guestTerm(t)
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	var log bytes.Buffer
+	term.Log = slog.New(slog.NewTextHandler(&log, nil))
+	term.ledger.Teams["guest"].Used = cpus(1_000_000)
+	term.summary(0)
+	if !strings.Contains(log.String(), "teams_near_limit=0") {
+		t.Errorf("the summary: %s", log.String())
+	}
+	term.ledger.Teams["team"].Used = cpus(modelLimit)
+	log.Reset()
+	term.summary(0)
+	if !strings.Contains(log.String(), "teams_near_limit=1") {
+		t.Errorf("the summary with a team at its limit: %s", log.String())
+	}
+}
+
+// Why a submission was refused for good is logged: users are told, on-call people asked.
+func TestRefusalsAreLogged(t *testing.T) {
+	term := guestTerm(t)
+	var log bytes.Buffer
+	term.Log = slog.New(slog.NewTextHandler(&log, nil))
+	spec := modelSpec("j-000002")
+	spec.Team = "nobody"
+	if r := term.Submit(t.Context(), spec); r.Status != http.StatusUnprocessableEntity {
+		t.Fatalf("a job of an unknown team: %d", r.Status)
+	}
+	for _, part := range []string{"submission refused", "job=j-000002", "status=422", "unknown team"} {
+		if !strings.Contains(log.String(), part) {
+			t.Errorf("%q is not in the log: %s", part, log.String())
+		}
+	}
+}
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -90,7 +90,7 @@
 	if j == nil {
 		if status, why := t.checkAdmissible(spec); status != 0 {
 			t.mu.Unlock()
-			return t.refuseUnknown(ctx, spec.ID, status, why)
+			return t.refuseUnknown(ctx, spec, status, why)
 		}
 		if d := t.admit(spec); d.Verdict != admission.Admit {
 			t.mu.Unlock()
@@ -127,14 +127,16 @@
 
 // refuseUnknown refuses a submission for good, or for now, unless its id is known: then
 // the job is known, whatever else the request now says.
-func (t *Term) refuseUnknown(ctx context.Context, id string, status int, why string) answer {
+func (t *Term) refuseUnknown(ctx context.Context, spec *protocol.JobSpec, status int, why string) answer {
 	if status == http.StatusServiceUnavailable {
 		return unavailable(why)
 	}
-	known := t.Poll(ctx, id)
+	known := t.Poll(ctx, spec.ID)
 	if known.Status != http.StatusNotFound {
 		return known
 	}
+	t.Log.Warn("submission refused", "job", spec.ID, "class", spec.Class, "team", spec.Team,
+		"status", status, "why", why)
 	return answer{Response: Refuse(status, why), proof: known.proof}
 }
 
