Build a save only once the rate of writes has room; urgent jobs' names go first

Cause: three built saves queued for the rate (28 writes/s), so users waited 1.3 s behind them; after 0.2 s the controller that had passed a job on put it into the inbox too (647 of 770 jobs), which cost the leader a rewrite and a delete each; names of machines of small jobs went before those of urgent ones, 30 s of writes. Change: the save loop waits for room for 4 writes, then builds and counts; changes of urgent jobs have a head start of 60 s; a job accepted in both places is taken out of the inbox lazily, without a write of its record. Commit takes a Pacing in place of a bool.

--- a/internal/bookkeeping/inbox.go
+++ b/internal/bookkeeping/inbox.go
@@ -58,8 +58,12 @@
 	if j == nil {
 		j = l.NewJob(a.Spec, a.Submitted, now)
 	}
-	if !j.arrived {
-		j.arrived, j.main.dirty = true, true
-		j.Changed(now, true)
+	if j.arrived {
+		return
 	}
+	j.arrived = true
+	// A job that is stored already is only to be taken out of the inbox: nobody waits for
+	// that, and there may be hundreds after a burst.
+	j.main.dirty = j.main.dirty || !j.stored
+	j.Changed(now, !j.stored)
 }
--- a/internal/bookkeeping/save.go
+++ b/internal/bookkeeping/save.go
@@ -45,6 +45,8 @@
 type SaveLimits struct {
 	Lazy  units.Micros // changes that nobody waits for are gathered for so long
 	Tasks bool         // also write what nobody waits for
+	// Changes bounds the changes below what a transaction may hold, 0: it does not.
+	Changes int
 }
 
 // A transaction may hold 64 KiB as JSON, which is at most about half larger
@@ -62,6 +64,9 @@
 		heads:          map[int]bool{},
 		ops:            l.ops(),
 	}
+	if limits.Changes > 0 {
+		b.ops = min(b.ops, limits.Changes)
+	}
 	for _, j := range l.due(limits, now) {
 		if !b.addJob(j) {
 			break
@@ -99,12 +104,26 @@
 	if j.userWaits() != other.userWaits() {
 		return j.userWaits()
 	}
-	if j.changedSince != other.changedSince {
-		return j.changedSince < other.changedSince
+	if a, b := j.saveOrder(), other.saveOrder(); a != b {
+		return a < b
 	}
 	return j.Spec.ID < other.Spec.ID
 }
 
+// priorityHeadStart is by how much the changes of urgent jobs go before others: when
+// hundreds of small jobs come at once, the names of their machines alone fill the rate
+// of writes for half a minute, and the tasks of an urgent job would begin after them.
+// It is bounded so that nothing waits for ever behind a stream of urgent jobs.
+const priorityHeadStart = 60 * units.Second
+
+// saveOrder is the time since which the job's changes count as due among others.
+func (j *Job) saveOrder() units.Micros {
+	if j.Spec.Priority >= protocol.High {
+		return j.changedSince - priorityHeadStart
+	}
+	return j.changedSince
+}
+
 // saveBuilder fills a save up to the limits of a transaction.
 type saveBuilder struct {
 	ledger         *Ledger
--- a/internal/bookkeeping/savepart.go
+++ b/internal/bookkeeping/savepart.go
@@ -51,6 +51,9 @@
 	for _, key := range j.obsolete {
 		w.remove(key, false)
 	}
+	if j.stored && j.arrived && !j.main.dirty {
+		w.remove(KeyInbox(j.Spec.ID), false) // it was accepted in both places
+	}
 	return part, w.writes
 }
 
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -172,15 +172,29 @@
 	return list, err
 }
 
+// Pacing is how a transaction is held against the node's share of the writes.
+type Pacing uint8
+
+const (
+	// Paced waits until the share has room.
+	Paced Pacing = iota
+	// Urgent is counted and does not wait: a renewal of the fleet lease.
+	Urgent
+	// Reserved was counted by ReserveWrites.
+	Reserved
+)
+
 // Commit carries out a transaction and gives its revision. It fails with
-// ErrRefused, ErrUncertain, ErrRejected or a ConflictError. It first waits for the write
-// budget; a renewal of the fleet lease is counted but does not wait.
-func (s *Store) Commit(ctx context.Context, txn protocol.Txn, urgent bool, limit units.Micros) (uint64, error) {
-	_, writes := s.limiters()
-	if n := len(txn.Then); urgent {
-		writes.ReserveN(time.Now(), n)
-	} else if err := writes.WaitN(ctx, n); err != nil {
-		return 0, ErrRefused
+// ErrRefused, ErrUncertain, ErrRejected or a ConflictError.
+func (s *Store) Commit(ctx context.Context, txn protocol.Txn, pacing Pacing, limit units.Micros) (uint64, error) {
+	switch pacing {
+	case Urgent:
+		s.ReserveWrites(len(txn.Then))
+	case Paced:
+		_, writes := s.limiters()
+		if err := writes.WaitN(ctx, len(txn.Then)); err != nil {
+			return 0, ErrRefused
+		}
 	}
 	if txn.If == nil {
 		txn.If = []protocol.Condition{}
@@ -233,6 +247,18 @@
 	return requests.TokensAt(time.Now()) > 4
 }
 
+// ReserveWrites counts writes that are about to be sent against the node's share.
+func (s *Store) ReserveWrites(n int) {
+	_, writes := s.limiters()
+	writes.ReserveN(time.Now(), n)
+}
+
+// WritesAvailable is how many writes fit into the node's share now.
+func (s *Store) WritesAvailable() int {
+	_, writes := s.limiters()
+	return max(0, int(writes.TokensAt(time.Now())))
+}
+
 // WritesSpare tells whether there is room for writes that nobody waits for.
 func (s *Store) WritesSpare() bool {
 	_, writes := s.limiters()
--- a/internal/coordination/catalog.go
+++ b/internal/coordination/catalog.go
@@ -37,7 +37,7 @@
 			key := ch.Set + ch.Delete // one of them
 			txn.If = append(txn.If, protocol.Condition{Key: key, Version: versions[key]})
 		}
-		version, err := t.Store.Commit(ctx, txn, false, stateCall)
+		version, err := t.Store.Commit(ctx, txn, bookkeeping.Paced, stateCall)
 		if err != nil {
 			t.Log.Info("catalog not stored", "error", err)
 			return
--- a/internal/coordination/format.go
+++ b/internal/coordination/format.go
@@ -141,7 +141,7 @@
 			Set:   key,
 			Value: protocol.Encode(bookkeeping.FormatRecord{Format: format, By: f.node}),
 		}},
-	}, true, stateCall)
+	}, bookkeeping.Urgent, stateCall)
 	var conflict *bookkeeping.ConflictError
 	if errors.As(err, &conflict) {
 		return errors.New("another write came first") // the next look tells
--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -89,7 +89,7 @@
 		return plainAnswer(Refuse(http.StatusTooManyRequests, "too many jobs wait for a leader"))
 	}
 	readAt := c.deps.Clock.Steady()
-	_, err := store.Commit(ctx, arrival, false, arrivalCall)
+	_, err := store.Commit(ctx, arrival, bookkeeping.Paced, arrivalCall)
 	var conflict *bookkeeping.ConflictError
 	switch {
 	case errors.As(err, &conflict):
@@ -173,7 +173,7 @@
 		signal(t.saveSignal)
 	}
 	if len(over.Then) > 0 {
-		if _, err := t.Store.Commit(ctx, over, false, stateCall); err != nil {
+		if _, err := t.Store.Commit(ctx, over, bookkeeping.Paced, stateCall); err != nil {
 			t.Log.Debug("inbox not cleared", "error", err) // by the next pass
 		}
 	}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -204,7 +204,7 @@
 	rev, err := f.store.Commit(ctx, protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.KeyFleet, Version: on}},
 		Then: []protocol.Change{{Set: bookkeeping.KeyFleet, Value: protocol.Encode(rec)}},
-	}, true, leaseCall)
+	}, bookkeeping.Urgent, leaseCall)
 	var conflict *bookkeeping.ConflictError
 	switch {
 	case err == nil:
--- a/internal/coordination/persistence.go
+++ b/internal/coordination/persistence.go
@@ -23,12 +23,19 @@
 	lazySave   = units.Second            // changes nobody waits for are gathered so long
 	saveGather = 2 * units.Millisecond   // submissions that come together are saved together
 	saveTick   = 200 * units.Millisecond // for the changes nobody waits for
+	// mostAwaited bounds for how many changes the rate of writes must have room before a
+	// save is built. Fewer would be many small transactions; more would let what comes
+	// meanwhile wait longer.
+	mostAwaited = 4
+	// writesRetry is until the rate is looked at again.
+	writesRetry = 50 * units.Millisecond
 )
 
 // saveLoop writes changed records.
 func (t *Term) saveLoop(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	tick := saveTick
 	for {
 		select {
 		case <-ctx.Done():
@@ -37,23 +44,15 @@
 			if !pause(ctx, saveGather) {
 				return
 			}
-		case <-time.After(saveTick.Duration()):
+		case <-time.After(tick.Duration()):
 		}
+		tick = saveTick
 		for {
-			t.mu.Lock()
-			var s *bookkeeping.Save
-			if t.saving < maxSaving {
-				now := t.Clock.Steady()
-				t.ledger.UpgradeFormat(t.Format.Level(), now)
-				s = t.ledger.BuildSave(t.saveID(), t.bucketVersions, bookkeeping.SaveLimits{
-					Lazy:  lazySave,
-					Tasks: t.Store.WritesSpare(),
-				}, now)
-			}
-			if s != nil {
-				t.saving++
+			if t.Store.WritesAvailable() < t.leastChanges() {
+				tick = writesRetry
+				break
 			}
-			t.mu.Unlock()
+			s := t.startSave()
 			if s == nil {
 				break
 			}
@@ -70,6 +69,34 @@
 	}
 }
 
+// leastChanges is for how many changes the rate of writes must have room before a save is
+// built.
+func (t *Term) leastChanges() int { return min(mostAwaited, t.Settings.Fleet.State.Both().TxnOps) }
+
+// startSave builds the next save if one may be sent now, and counts its writes. It is built
+// only once the rate of writes has room for it: what waits for the rate can still be
+// overtaken by what a user waits for, what is built can not.
+func (t *Term) startSave() *bookkeeping.Save {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.saving >= maxSaving {
+		return nil
+	}
+	now := t.Clock.Steady()
+	t.ledger.UpgradeFormat(t.Format.Level(), now)
+	s := t.ledger.BuildSave(t.saveID(), t.bucketVersions, bookkeeping.SaveLimits{
+		Lazy:    lazySave,
+		Tasks:   t.Store.WritesSpare(),
+		Changes: max(t.leastChanges(), t.Store.WritesAvailable()),
+	}, now)
+	if s == nil {
+		return nil
+	}
+	t.saving++
+	t.Store.ReserveWrites(len(s.Txn.Then))
+	return s
+}
+
 // Backoff of a save whose outcome is open, and of a read that an outcome hangs on.
 const (
 	commitBackoff    = 100 * units.Millisecond
@@ -83,8 +110,10 @@
 func (t *Term) commit(ctx context.Context, s *bookkeeping.Save) {
 	uncertain := false
 	began := t.Clock.Steady()
+	pacing := bookkeeping.Reserved
 	for wait := commitBackoff; ; wait = min(2*wait, maxCommitBackoff) {
-		version, err := t.Store.Commit(ctx, s.Txn, false, stateCall)
+		version, err := t.Store.Commit(ctx, s.Txn, pacing, stateCall)
+		pacing = bookkeeping.Paced
 		if err == nil {
 			if t.traces {
 				t.Log.Debug("save carried out", "jobs", s.Jobs(), "changes", len(s.Txn.Then),
--- a/internal/coordination/planpublisher.go
+++ b/internal/coordination/planpublisher.go
@@ -239,7 +239,10 @@
 	p.term.planInDoubt()
 	head := bookkeeping.KeyHead(planFence)
 	sent := p.term.Clock.Steady()
-	first := p.sentAt == 0
+	pacing := bookkeeping.Paced
+	if p.sentAt == 0 {
+		pacing = bookkeeping.Urgent
+	}
 	p.sentAt = sent
 	revision, err := p.term.Store.Commit(ctx, protocol.Txn{
 		If: []protocol.Condition{
@@ -247,7 +250,7 @@
 			{Key: head, Version: p.term.bucketVersion(planFence)},
 		},
 		Then: []protocol.Change{{Set: admission.KeyPlan, Value: raw}},
-	}, first, stateCall)
+	}, pacing, stateCall)
 	switch {
 	case errors.Is(err, bookkeeping.ErrRefused):
 		p.term.planChanged(p.revision)
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -151,7 +151,7 @@
 		version, err := t.Store.Commit(ctx, protocol.Txn{
 			If:   txn.If[from:to],
 			Then: txn.Then[from:to],
-		}, true, stateCall)
+		}, bookkeeping.Urgent, stateCall)
 		if err != nil {
 			return err // tried again, with the versions then read
 		}
