--- /dev/null
+++ b/internal/federation/model_test.go
@@ -0,0 +1,529 @@
+package federation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// This file plays random histories of three cells: messages that are lost, doubled and
+// late by any time, cuts in one direction, leaders that end before and after a save,
+// clocks that drift. What must hold is checked on the tasks themselves, from outside.
+
+const (
+	modelTasks    = 4
+	modelCapacity = Work(5)
+	modelPatience = 20 * units.Second
+)
+
+var modelTerms = Terms{Lease: 10 * units.Second, Stop: 15 * units.Second}
+
+// execution is a job's tasks on the machines of one cell.
+type execution struct {
+	aliveUntil units.Micros // real time at which the workers' leases end
+	done       TaskSet
+}
+
+// userJob is a job as its user and an observer of all machines see it.
+type userJob struct {
+	id              string
+	home            *modelCell
+	allowance       int
+	begun           map[string]bool // the runs of its tasks, in whichever cell
+	cancel          bool
+	done, cancelled bool // the user was told
+	incarnation     uint64
+	reruns          int
+}
+
+type modelCell struct {
+	name   string
+	rate   float64 // of its steady clock
+	term   uint64
+	up     units.Micros // real time from which a leader is there
+	out    map[string]OriginRecord
+	in     map[TransferID]TargetRecord
+	execs  map[string]*execution // by job
+	done   map[string]TaskSet    // of jobs that are the cell's own
+	leader modelLeader
+}
+
+// modelLeader is what a leader keeps in memory alone.
+type modelLeader struct {
+	grantors map[string]*Grantor
+	holders  map[TransferID]*Holder
+	rooms    *Reservations
+}
+
+type envelope struct {
+	from, to *modelCell
+	m        Message
+}
+
+type model struct {
+	t     *rapid.T
+	now   units.Micros
+	cells []*modelCell
+	jobs  []*userJob
+	net   []envelope
+	cuts  map[[2]string]bool
+	calm  bool
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, cuts: map[[2]string]bool{}}
+	for i, name := range []string{"mill", "dye", "recipes"} {
+		c := &modelCell{
+			name:  name,
+			rate:  1 + float64(rapid.IntRange(-250, 250).Draw(t, "drift"))/1e6,
+			out:   map[string]OriginRecord{},
+			in:    map[TransferID]TargetRecord{},
+			execs: map[string]*execution{},
+			done:  map[string]TaskSet{},
+		}
+		m.cells = append(m.cells, c)
+		m.claim(c)
+		for k := range 2 {
+			m.jobs = append(m.jobs, &userJob{
+				id:        fmt.Sprintf("j-%06d", 10*i+k),
+				home:      c,
+				begun:     map[string]bool{},
+				allowance: rapid.IntRange(0, 2).Draw(t, "allowance"),
+			})
+		}
+	}
+	return m
+}
+
+func (m *model) clock(c *modelCell) units.Micros { return units.Micros(float64(m.now) * c.rate) }
+
+// claim begins a new leader, which knows what is stored and nothing else.
+func (m *model) claim(c *modelCell) {
+	c.term++
+	c.leader = modelLeader{
+		grantors: map[string]*Grantor{},
+		holders:  map[TransferID]*Holder{},
+		rooms:    NewReservations(5 * units.Second),
+	}
+	c.leader.rooms.SetCapacity(modelCapacity)
+	for job := range c.out {
+		grantor := NewGrantor(m.clock(c))
+		c.leader.grantors[job] = &grantor
+	}
+	for id, r := range c.in {
+		holder := NewHolder(c.term)
+		c.leader.holders[id] = &holder
+		c.leader.rooms.Restore(&r, m.clock(c))
+	}
+}
+
+// ends has a cell's leader end, and tells so.
+func (m *model) ends(c *modelCell) bool {
+	if m.calm || rapid.IntRange(0, 99).Draw(m.t, "leader ends") != 50 {
+		return false
+	}
+	m.crash(c)
+	return true
+}
+
+func (m *model) crash(c *modelCell) {
+	m.claim(c)
+	c.up = m.now + rapid.SampledFrom([]units.Micros{0, 1, 5, 40}).Draw(m.t, "away")*units.Second
+}
+
+func (m *model) send(from *modelCell, to string, messages []Message) {
+	for _, msg := range messages {
+		if err := msg.Check(); err != nil {
+			m.t.Fatalf("a cell sends %+v: %v", msg, err)
+		}
+		i := slices.IndexFunc(m.cells, func(c *modelCell) bool { return c.name == to })
+		m.net = append(m.net, envelope{from, m.cells[i], msg})
+	}
+}
+
+// originDecides carries a decision out: stored first, then sent.
+func (m *model) originDecides(c *modelCell, d OriginDecision) {
+	if m.ends(c) {
+		return
+	}
+	job := d.Record.Transfer.Job
+	if d.Save {
+		c.out[job] = roundTripOrigin(m.t, d.Record)
+		if c.leader.grantors[job] == nil {
+			grantor := NewGrantor(m.clock(c))
+			c.leader.grantors[job] = &grantor
+		}
+		if m.ends(c) {
+			return
+		}
+	}
+	m.send(c, d.Record.Target, d.Send)
+}
+
+func (m *model) targetDecides(c *modelCell, d TargetDecision) {
+	if m.ends(c) {
+		return
+	}
+	id := d.Record.Transfer
+	switch {
+	case d.Remove:
+		delete(c.in, id)
+	case d.Save:
+		c.in[id] = roundTripTarget(m.t, d.Record)
+		if c.leader.holders[id] == nil {
+			holder := NewHolder(c.term)
+			c.leader.holders[id] = &holder
+		}
+		switch d.Record.Phase {
+		case AcceptedHere:
+			c.leader.rooms.Commit(id)
+		case FinishedHere, RefusedHere:
+			c.leader.rooms.Release(id)
+		}
+		if m.ends(c) {
+			return
+		}
+	}
+	m.send(c, id.Origin, d.Send)
+}
+
+func (m *model) deliver(e envelope) {
+	c, msg := e.to, &e.m
+	if m.now < c.up || m.cuts[[2]string{e.from.name, c.name}] {
+		return // lost
+	}
+	if msg.Kind.toTarget() {
+		r, known := c.in[msg.Transfer]
+		if known {
+			m.targetDecides(c, r.Receive(msg, c.leader.holders[msg.Transfer], modelTerms.Lease, m.clock(c)))
+			return
+		}
+		room := msg.Kind == Reserve && c.leader.rooms.Try(msg.Transfer, msg.Work, m.clock(c))
+		m.targetDecides(c, ReceiveNew(msg, room))
+		return
+	}
+	r, known := c.out[msg.Transfer.Job]
+	if !known {
+		m.send(c, e.from.name, ReceiveUnknown(msg))
+		return
+	}
+	d := r.Receive(msg, c.leader.grantors[r.Transfer.Job], m.clock(c))
+	if msg.Transfer != r.Transfer {
+		m.send(c, e.from.name, d.Send)
+		return
+	}
+	m.originDecides(c, d)
+}
+
+func (m *model) tick(c *modelCell) {
+	if m.now < c.up {
+		return
+	}
+	for _, job := range m.jobs {
+		if job.home == c {
+			m.tickJob(c, job)
+		}
+	}
+	for _, id := range c.leader.rooms.Expired(m.clock(c)) {
+		if r, ok := c.in[id]; ok {
+			m.targetDecides(c, r.Expire())
+		} else {
+			c.leader.rooms.Release(id)
+		}
+	}
+	for _, id := range slices.SortedFunc(keysOf(c.in), compareTransfers) {
+		if r, ok := c.in[id]; ok && m.now >= c.up {
+			m.tickTarget(c, r)
+		}
+	}
+}
+
+// tickJob is what the origin does about one of its jobs.
+func (m *model) tickJob(c *modelCell, job *userJob) {
+	if r, moved := c.out[job.id]; !moved || r.Owner() == HereAgain {
+		m.runHere(c, job)
+	}
+	r, moved := c.out[job.id]
+	if !moved {
+		return
+	}
+	switch r.Phase {
+	case Finished:
+		m.tellDone(job, c.done[job.id].Union(r.Done))
+	case Withdrawn:
+		m.tellCancelled(job)
+	}
+	if r.Over() && (r.Phase != Returned || job.done || job.cancelled || rapid.Bool().Draw(m.t, "remove")) {
+		c.done[job.id] = c.done[job.id].Union(r.Done)
+		job.incarnation, job.reruns = r.Transfer.Incarnation, r.NextReruns()
+		delete(c.out, job.id)
+		return
+	}
+	grantor := c.leader.grantors[job.id]
+	m.originDecides(c, r.Tick(grantor, m.clock(c), modelTerms))
+	if r, ok := c.out[job.id]; ok && m.now >= c.up {
+		switch {
+		case job.cancel:
+			m.originDecides(c, r.Cancel())
+		case grantor.Silent(m.clock(c)) > modelPatience:
+			m.originDecides(c, r.TakeBack())
+		}
+	}
+	if r, ok := c.out[job.id]; ok && m.now >= c.up {
+		m.originDecides(c, r.Repeat())
+	}
+}
+
+// runHere is what a cell does with a job that is its own.
+func (m *model) runHere(c *modelCell, job *userJob) {
+	switch exec := c.execs[job.id]; {
+	case job.done || job.cancelled:
+		delete(c.execs, job.id)
+	case job.cancel:
+		delete(c.execs, job.id)
+		m.tellCancelled(job)
+		m.endedHere(c, job)
+	case exec != nil:
+		exec.aliveUntil = m.now + 1<<50 // ordinary scheduling within a cell is not modelled
+		m.progress(exec)
+		c.done[job.id] = c.done[job.id].Union(exec.done)
+		if complete(c.done[job.id]) {
+			m.tellDone(job, c.done[job.id])
+			m.endedHere(c, job)
+		}
+	case m.calm || rapid.IntRange(0, 3).Draw(m.t, "run here") == 0:
+		m.begin(c, job, fmt.Sprintf("at home after transfer %d", c.out[job.id].Transfer.Incarnation+job.incarnation), 1<<50)
+	}
+}
+
+// endedHere stores, together with a job's end, that its transfer matters no more.
+func (m *model) endedHere(c *modelCell, job *userJob) {
+	if r, moved := c.out[job.id]; moved {
+		c.out[job.id] = r.Ended().Record
+	}
+}
+
+// tickTarget is what the target does about a transfer.
+func (m *model) tickTarget(c *modelCell, r TargetRecord) {
+	holder := c.leader.holders[r.Transfer]
+	exec := c.execs[r.Transfer.Job]
+	if r.MayRun(holder, m.clock(c)) {
+		if exec == nil {
+			m.begin(c, m.job(r.Transfer.Job), fmt.Sprintf("%v run %d", r.Transfer, r.Run), m.stop(c))
+		} else {
+			exec.aliveUntil = m.now + m.stop(c) // the workers are answered
+			m.progress(exec)
+			m.targetDecides(c, r.Complete(exec.done, complete(r.Done.Union(exec.done))))
+		}
+	}
+	if r.Stopping && exec == nil {
+		m.targetDecides(c, r.Stopped())
+	}
+	if r, ok := c.in[r.Transfer]; ok && m.now >= c.up {
+		m.targetDecides(c, r.Repeat())
+		m.targetDecides(c, r.Renew(holder, m.clock(c)))
+	}
+}
+
+// stop is, in real time, how long a cell's workers go on without an answer.
+func (m *model) stop(c *modelCell) units.Micros {
+	return units.Micros(float64(modelTerms.Stop) / c.rate)
+}
+
+// begin starts a job's tasks. That a cell starts tasks of a run once more that were lost
+// with their machines is ordinary scheduling, and no other run.
+func (m *model) begin(c *modelCell, job *userJob, run string, alive units.Micros) {
+	job.begun[run] = true
+	if len(job.begun) > 1+job.allowance {
+		m.t.Fatalf("%s is begun as %v, its class allows %d reruns", job.id, job.begun, job.allowance)
+	}
+	c.execs[job.id] = &execution{aliveUntil: m.now + alive}
+}
+
+func (m *model) progress(exec *execution) {
+	for task := range modelTasks {
+		if m.calm || rapid.IntRange(0, 5).Draw(m.t, "ends") == 0 {
+			exec.done.Add(task)
+		}
+	}
+}
+
+func complete(done TaskSet) bool { return done.Contains(TaskSet{1<<modelTasks - 1}) }
+
+func (m *model) tellDone(job *userJob, done TaskSet) {
+	if !complete(done) {
+		m.t.Fatalf("%s is called done with tasks %v", job.id, done)
+	}
+	if job.cancelled {
+		m.t.Fatalf("%s was called cancelled and is called done", job.id)
+	}
+	job.done = true
+}
+
+func (m *model) tellCancelled(job *userJob) {
+	if job.done {
+		return // it was done before
+	}
+	for _, c := range m.cells {
+		if exec := c.execs[job.id]; exec != nil && m.now < exec.aliveUntil && c != job.home {
+			m.t.Fatalf("%s is called cancelled while it runs in %s", job.id, c.name)
+		}
+	}
+	job.cancelled = true
+}
+
+func (m *model) job(id string) *userJob {
+	return m.jobs[slices.IndexFunc(m.jobs, func(j *userJob) bool { return j.id == id })]
+}
+
+// check looks at the machines of all cells.
+func (m *model) check() {
+	for _, job := range m.jobs {
+		var in []string
+		for _, c := range m.cells {
+			exec := c.execs[job.id]
+			if exec != nil && m.now >= exec.aliveUntil {
+				delete(c.execs, job.id)
+				exec = nil
+			}
+			if exec != nil {
+				in = append(in, c.name)
+			}
+		}
+		if len(in) > 1 {
+			m.t.Fatalf("%s runs in %v at once", job.id, in)
+		}
+	}
+	for _, c := range m.cells {
+		if c.leader.rooms.promised("") > modelCapacity {
+			m.t.Fatalf("%s has promised %d of %d", c.name, c.leader.rooms.promised(""), modelCapacity)
+		}
+	}
+}
+
+// spill begins a transfer of a job that does not run.
+func (m *model) spill(job *userJob) {
+	c := job.home
+	if _, moved := c.out[job.id]; moved || m.now < c.up || c.execs[job.id] != nil || job.done || job.cancel {
+		return
+	}
+	reruns := job.reruns
+	if reruns > job.allowance {
+		return
+	}
+	to := m.cells[rapid.IntRange(0, len(m.cells)-1).Draw(m.t, "target")]
+	if to == c {
+		return
+	}
+	id := TransferID{Origin: c.name, Job: job.id, Incarnation: job.incarnation + 1}
+	m.originDecides(c, Begin(id, to.name, []byte("job"), 2, job.allowance, reruns))
+}
+
+func (m *model) step() {
+	c := m.cells[rapid.IntRange(0, len(m.cells)-1).Draw(m.t, "cell")]
+	job := m.jobs[rapid.IntRange(0, len(m.jobs)-1).Draw(m.t, "job")]
+	other := m.cells[rapid.IntRange(0, len(m.cells)-1).Draw(m.t, "other")]
+	switch op := rapid.IntRange(0, 29).Draw(m.t, "op"); op {
+	case 0:
+		m.crash(c)
+	case 1:
+		link := [2]string{c.name, other.name}
+		m.cuts[link] = !m.cuts[link]
+	case 2:
+		job.cancel = job.cancel || rapid.IntRange(0, 2).Draw(m.t, "cancel") == 0
+	case 3, 4, 5:
+		m.spill(job)
+	case 6:
+		m.pass(units.Micros(rapid.IntRange(1, 40).Draw(m.t, "long")) * units.Second)
+	case 7, 8, 9, 10, 11, 12, 13, 14:
+		m.pass(units.Micros(rapid.IntRange(1, 2_000).Draw(m.t, "short")) * units.Millisecond)
+	default:
+		for range min(3, len(m.net)) {
+			m.deliverAny()
+		}
+	}
+}
+
+// pass lets time go by, and then every leader look at its records.
+func (m *model) pass(time units.Micros) {
+	m.now += time
+	m.check()
+	for _, c := range m.cells {
+		m.tick(c)
+		m.check()
+	}
+}
+
+// deliverAny delivers any message that is on its way, however old. A copy may stay.
+func (m *model) deliverAny() {
+	i := rapid.IntRange(0, len(m.net)-1).Draw(m.t, "message")
+	e := m.net[i]
+	if len(m.net) > 60 || rapid.IntRange(0, 4).Draw(m.t, "copy stays") != 0 {
+		m.net = slices.Delete(m.net, i, i+1)
+	}
+	m.deliver(e)
+	m.check()
+}
+
+// settle heals everything and waits until every job is over and no record is left.
+func (m *model) settle() {
+	m.calm = true
+	clear(m.cuts)
+	for range 400 {
+		m.now += units.Second
+		m.check()
+		for _, c := range m.cells {
+			m.tick(c)
+		}
+		for range 4 {
+			pending := m.net
+			m.net = nil
+			for _, e := range pending {
+				m.deliver(e)
+			}
+		}
+		m.check()
+	}
+	for _, job := range m.jobs {
+		if !job.done && !job.cancelled {
+			m.t.Fatalf("%s is lost: %+v", job.id, job.home.out[job.id])
+		}
+	}
+	for _, c := range m.cells {
+		if len(c.out)+len(c.in) != 0 {
+			m.t.Fatalf("%s keeps records: %+v %+v", c.name, c.out, c.in)
+		}
+	}
+}
+
+func TestThreeCellsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			m.check()
+			m.step()
+		}
+		m.settle()
+	})
+}
+
+func roundTripOrigin(t *rapid.T, r OriginRecord) OriginRecord {
+	back, err := ParseOrigin(protocol.Item{Key: r.Key(), Value: r.Encode("1-1")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return *back
+}
+
+func roundTripTarget(t *rapid.T, r TargetRecord) TargetRecord {
+	back, err := ParseTarget(protocol.Item{Key: r.Key(), Value: r.Encode("1-1")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return *back
+}
