--- a/cmd/dunestand/main.go
+++ b/cmd/dunestand/main.go
@@ -64,7 +64,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput{err} })
 	root.CompletionOptions.DisableDefaultCmd = true
 
-	root.AddCommand(checkCommand(), policyCommand(), admissionCommand(), versionCommand())
+	root.AddCommand(checkCommand(), policyCommand(), admissionCommand(), cellsCommand(), versionCommand())
 	return root
 }
 
--- a/cmd/dunestand/main_test.go
+++ b/cmd/dunestand/main_test.go
@@ -42,6 +42,10 @@
 		{"policy", "check"},
 		{"policy", "check", badPolicy},
 		{"policy", "check", filepath.Join(dir, "none")},
+		{"cells"},
+		{"cells", "check"},
+		{"cells", "check", filepath.Join(dir, "none")},
+		{"cells", "check", write("bad.toml", "complete_by_hour = 24")},
 		{"--colour"},
 		{"frobnicate"},
 		{"version", "x"},
@@ -67,6 +71,13 @@
 	if _, err := execute("policy", "check", write("good.policy", "rank = waited_s * -1\n")); err != nil {
 		t.Errorf("a good policy: %v", err)
 	}
+	if _, err := execute("cells", "check", "../../deploy/cells.toml"); err != nil {
+		t.Errorf("the cells file that is delivered: %v", err)
+	}
+	unfit := []string{"cells", "check", "../../deploy/cells.toml", "--config", write("settings.json", string(settings))}
+	if _, err := execute(unfit...); !errors.As(err, &bad) || !strings.HasPrefix(err.Error(), "lease_s: ") {
+		t.Errorf("a cells file that does not fit the settings: %v", err)
+	}
 	if _, err := execute("version"); err != nil {
 		t.Errorf("version: %v", err)
 	}
--- /dev/null
+++ b/internal/federation/cells_test.go
@@ -0,0 +1,107 @@
+package federation
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dunestand/internal/config"
+	"dunestand/internal/units"
+)
+
+const deployedCells = "../../deploy/cells.toml"
+
+func deployed(t *testing.T) *Cells {
+	t.Helper()
+	cells, err := LoadCells(deployedCells)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cells
+}
+
+func TestDeployedCells(t *testing.T) {
+	c := deployed(t)
+	if c.Self != "mill" || len(c.Cells) != 3 || c.CompleteBy != 6 || c.Moves != 2 || c.Margin != 60*units.Second {
+		t.Errorf("read as %+v", c)
+	}
+	for class, want := range map[string]int{"loomplan": AnyRestarts, "rushorder": 0, "yarnrecount": 2} {
+		if got := c.Class(class); got == nil || got.Restarts != want {
+			t.Errorf("%s: %+v, want %d restarts", class, got, want)
+		}
+	}
+	if c.Class("other") != nil {
+		t.Error("a class that is not named may be handed over")
+	}
+	for address, want := range map[string]string{"10.0.1.77": "dye", "::ffff:10.0.2.1": "recipes", "10.0.3.1": "", "::1": ""} {
+		addr := netip.MustParseAddr(address)
+		if got := c.CellAt(addr); got != want {
+			t.Errorf("%s is in %q, want %q", address, got, want)
+		}
+		if c.Permits(addr, "mill") || c.Permits(addr, "") {
+			t.Errorf("%s may speak for mill, or for nobody", address)
+		}
+	}
+}
+
+func TestBadCellsNameTheField(t *testing.T) {
+	raw, err := os.ReadFile(deployedCells)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`complete_by_hour = 6`, `complete_by_hour = 24`, "complete_by_hour: 24 is no hour"},
+		{`complete_by_hour = 6`, ``, "complete_by_hour: missing"},
+		{`lease_s = 12`, `lease_s = nan`, "lease_s"},
+		{`stop_s = 30`, `stop_s = 0`, "stop_s"},
+		{`margin_s = 60`, `margin_s = -1`, "margin_s"},
+		{`moves = 2`, `moves = 0`, "moves"},
+		{`moves = 2`, `jumps = 2`, "jumps: unknown field"},
+		{`moves = 2`, `moves = "two"`, "moves"},
+		{`moves = 2`, `moves = `, "cells.toml:20: "},
+		{`name = "dye"`, `name = "mill"`, `cell[1].name: "mill" is listed twice`},
+		{`name = "dye"`, `name = "Dye"`, "cell[1].name"},
+		{`self = "mill"`, `self = "loom"`, "self"},
+		{`"10.0.1.0/24"`, `"10.0.0.0/16"`, "cell[1].networks[0]: 10.0.0.0/16 overlaps"},
+		{`"10.0.1.0/24"`, `"10.0.1.7/24"`, "cell[1].networks[0]"},
+		{`"10.0.1.0/24"`, `"10.0.9.0/24"`, "cell[1].controllers[0]"},
+		{`"10.0.1.1:8081"`, `"dye:8081"`, "cell[1].controllers[0]"},
+		{`networks = ["10.0.1.0/24"]`, ``, "cell[1].networks: missing"},
+		{`name = "yarnrecount"`, `name = "loomplan"`, "class[2].name"},
+		{`restarts = 2`, `restarts = -1`, "class[2].restarts: -1 is below 0"},
+		{`restarts = 2`, ``, "class[2].restarts: missing"},
+		{`restarts = 2`, `restarts = "some"`, "restarts"},
+	} {
+		path := filepath.Join(t.TempDir(), "cells.toml")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(raw), c.old, c.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadCells(path)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: %v, want one line with %q", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+func TestCellsFitTheSettings(t *testing.T) {
+	settings := &config.Settings{Fleet: config.Fleet{
+		Workers:    config.Workers{LeaseS: 26, CancelS: 46},
+		Objectives: []config.Objective{{Class: "loomplan"}, {Class: "rushorder"}, {Class: "yarnrecount"}},
+	}}
+	if err := deployed(t).CheckSettings(settings); err != nil {
+		t.Fatal(err)
+	}
+	for want, spoil := range map[string]func(*Cells){
+		"stop_s":        func(c *Cells) { c.Terms.Stop = 26 * units.Second }, // not with drift
+		"lease_s":       func(c *Cells) { c.Terms.Lease = 16 * units.Second },
+		"class[3].name": func(c *Cells) { c.Classes = append(c.Classes, Class{Name: "reindex"}) },
+	} {
+		c := deployed(t)
+		spoil(c)
+		if err := c.CheckSettings(settings); err == nil || !strings.HasPrefix(err.Error(), want+":") {
+			t.Errorf("%v, want an error about %s", err, want)
+		}
+	}
+}
--- a/internal/federation/transfer.go
+++ b/internal/federation/transfer.go
@@ -205,7 +205,7 @@
 // of the job runs at the target.
 func (t Terms) Certain() units.Micros {
 	length := t.Lease + t.Stop
-	return length + length*driftPerMillion/1_000_000 + graceForRounding
+	return withDrift(length) + graceForRounding
 }
 
 // compareTransfers orders transfers.
