Read the inbox by its changes: a burst's inbox was read whole each second

Cause: the inbox, which a burst leaves with hundreds of jobs for half a minute, was listed and parsed whole each second; taken out lazily, it stays longer. Only its first page was ever read. Change: read whole (all pages) at first, each 30 s and when something was not cleared; in between by GET /changes.

Tests: inboxwatch_test.go.

--- a/internal/coordination/inbox.go
+++ b/internal/coordination/inbox.go
@@ -124,16 +124,17 @@
 
 // inboxLoop takes in what other controllers accepted.
 func (t *Term) inboxLoop(ctx context.Context) {
+	var watch inboxWatch
 	for wait := units.Micros(0); pause(ctx, wait); wait = inboxEvery {
 		if !t.Lease.Valid(t.number) || !t.Store.Spare() {
 			continue
 		}
-		list, err := t.Store.List(ctx, bookkeeping.PrefixInbox, "", stateCall)
+		items, err := watch.next(ctx, t)
 		if err != nil {
 			t.Log.Debug("inbox not read", "error", err)
 			continue
 		}
-		t.takeIn(ctx, list.Items)
+		t.takeIn(ctx, items)
 	}
 }
 
@@ -166,6 +167,8 @@
 		} else if len(over.Then) < t.Settings.Fleet.State.Both().TxnOps {
 			over.If = append(over.If, protocol.Condition{Key: item.Key, Version: item.Version})
 			over.Then = append(over.Then, protocol.Change{Delete: item.Key})
+		} else {
+			t.inboxUncleared.Store(true)
 		}
 	}
 	t.mu.Unlock()
@@ -174,7 +177,8 @@
 	}
 	if len(over.Then) > 0 {
 		if _, err := t.Store.Commit(ctx, over, bookkeeping.Paced, stateCall); err != nil {
-			t.Log.Debug("inbox not cleared", "error", err) // by the next pass
+			t.Log.Debug("inbox not cleared", "error", err)
+			t.inboxUncleared.Store(true)
 		}
 	}
 	return unreadable
--- /dev/null
+++ b/internal/coordination/inboxwatch.go
@@ -0,0 +1,66 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// inboxResync is how often the whole inbox is read again, whatever the changes told.
+const inboxResync = 30 * units.Second
+
+// inboxWatch follows the inbox. Hundreds of jobs may be in it for half a minute after a
+// burst, and to read them all each second took much of a leader's processor just then: so
+// the whole is read once in a while, and the changes since in between.
+type inboxWatch struct {
+	revision uint64 // up to which the inbox is known, 0: it has to be read whole
+	readAt   units.Micros
+}
+
+// next gives what is new in the inbox.
+func (w *inboxWatch) next(ctx context.Context, t *Term) ([]protocol.Item, error) {
+	now := t.Clock.Steady()
+	if w.revision == 0 || now-w.readAt >= inboxResync || t.inboxUncleared.Swap(false) {
+		return w.read(ctx, t, now)
+	}
+	list, err := t.Store.Changes(ctx, bookkeeping.PrefixInbox, w.revision, 0)
+	if errors.Is(err, bookkeeping.ErrTooOld) {
+		return w.read(ctx, t, now)
+	}
+	if err != nil {
+		return nil, err
+	}
+	w.revision = max(w.revision, list.Revision)
+	return arrivedItems(list.Changes), nil
+}
+
+// read reads the whole inbox.
+func (w *inboxWatch) read(ctx context.Context, t *Term, now units.Micros) ([]protocol.Item, error) {
+	w.revision = 0
+	items, revision, err := t.listAll(ctx, bookkeeping.PrefixInbox)
+	if err != nil {
+		return nil, err
+	}
+	w.revision, w.readAt = revision, now
+	return items, nil
+}
+
+// arrivedItems gives the records that were put and not deleted since.
+func arrivedItems(changes []protocol.KeyChange) []protocol.Item {
+	deletedAt := map[string]uint64{}
+	for _, change := range changes {
+		if change.Delete != "" {
+			deletedAt[change.Delete] = change.Version
+		}
+	}
+	var items []protocol.Item
+	for _, change := range changes {
+		if change.Set != "" && change.Version > deletedAt[change.Set] {
+			items = append(items, protocol.Item{Key: change.Set, Value: change.Value, Version: change.Version})
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/internal/coordination/inboxwatch_test.go
@@ -0,0 +1,93 @@
+package coordination
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/protocol"
+	"dunestand/internal/standin"
+	"dunestand/internal/units"
+)
+
+// arrives puts a job into the inbox, as another controller does.
+func arrives(t *testing.T, s *standin.State, id string) {
+	t.Helper()
+	if _, ok := s.Apply(bookkeeping.ArrivalTxn(bookkeeping.Arrival{Spec: *modelSpec(id)})); !ok {
+		t.Fatalf("%s is not taken into the inbox", id)
+	}
+}
+
+// After a burst the inbox held hundreds of jobs, and reading them all each second took
+// much of the leader's processor. Each job is read once, unless something went wrong.
+func TestInboxIsReadByItsChanges(t *testing.T) {
+	s := standin.NewState()
+	term := storedTerm(t, 1, s)
+	clock := term.Clock.(*manualClock)
+	var watch inboxWatch
+	expect := func(what string, want ...string) {
+		t.Helper()
+		items, err := watch.next(t.Context(), term)
+		if err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		var got []string
+		for _, item := range items {
+			got = append(got, item.Key)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	first, second, third := bookkeeping.KeyInbox("j-000001"), bookkeeping.KeyInbox("j-000002"), bookkeeping.KeyInbox("j-000003")
+	arrives(t, s, "j-000001")
+	expect("at first", first)
+	expect("nothing new")
+	arrives(t, s, "j-000002")
+	arrives(t, s, "j-000003")
+	s.Apply(protocol.Txn{Then: []protocol.Change{{Delete: second}}})
+	expect("one came and went, one came", third)
+	s.Put("other/key", protocol.Encode("x"))
+	expect("a change elsewhere")
+	term.inboxUncleared.Store(true)
+	expect("something was not cleared", first, third)
+	expect("and then no more")
+	clock.now += inboxResync
+	expect("once in a while", first, third)
+	ended, end := context.WithCancel(t.Context())
+	end()
+	arrives(t, s, "j-000004")
+	if items, err := watch.next(ended, term); err == nil {
+		t.Fatalf("without an answer: %v", items)
+	}
+	expect("after an outage", bookkeeping.KeyInbox("j-000004"))
+}
+
+// A job that is over is taken out of the inbox, though only the save that would have
+// accepted it once more tells so.
+func TestInboxOfFinishedJobsIsCleared(t *testing.T) {
+	s := standin.NewState()
+	term := storedTerm(t, 1, s)
+	if !term.restore(t.Context()) {
+		t.Fatal("not restored")
+	}
+	over := bookkeeping.Final{Stage: protocol.StageDone, Tasks: 2, Done: 2}
+	arrives(t, s, "j-000001")
+	s.Put(bookkeeping.KeyFinal("j-000001"), protocol.Encode(over))
+	var watch inboxWatch
+	for range 2 {
+		items, err := watch.next(t.Context(), term)
+		if err != nil {
+			t.Fatal(err)
+		}
+		term.takeIn(t.Context(), items)
+		if save := term.startSave(); save != nil {
+			term.commit(t.Context(), save)
+		}
+		term.Clock.(*manualClock).now += units.Second
+	}
+	if left := s.Keys(bookkeeping.PrefixInbox); len(left) != 0 {
+		t.Errorf("left in the inbox: %v", left)
+	}
+}
--- a/internal/coordination/persistence.go
+++ b/internal/coordination/persistence.go
@@ -258,5 +258,6 @@
 	for id, f := range over {
 		t.finals.put(id, f)
 		t.ledger.Drop(id)
+		t.inboxUncleared.Store(true) // it may have come from there
 	}
 }
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -59,7 +59,7 @@
 
 // readJobs reads all live jobs, and what is left over of jobs that are over, by job.
 func (t *Term) readJobs(ctx context.Context) (jobs []*bookkeeping.Job, orphans map[string][]string, err error) {
-	rows, err := t.listAll(ctx, bookkeeping.PrefixJobs)
+	rows, _, err := t.listAll(ctx, bookkeeping.PrefixJobs)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -82,7 +82,7 @@
 // readStoredCatalog reads the catalog that a former leader stored, and the versions of its
 // records. One that cannot be read is logged, and stands for none.
 func (t *Term) readStoredCatalog(ctx context.Context) (protocol.Catalog, map[string]uint64, error) {
-	list, err := t.listAll(ctx, bookkeeping.KeyCatalog)
+	list, _, err := t.listAll(ctx, bookkeeping.KeyCatalog)
 	if err != nil {
 		return protocol.Catalog{}, nil, err
 	}
@@ -116,7 +116,7 @@
 // time: from then on, saves of a former leader that are still on their way
 // fail.
 func (t *Term) claimBuckets(ctx context.Context) error {
-	items, err := t.listAll(ctx, bookkeeping.PrefixHeads)
+	items, _, err := t.listAll(ctx, bookkeeping.PrefixHeads)
 	if err != nil {
 		return err
 	}
@@ -170,18 +170,21 @@
 // listCall bounds the read of one page of a list.
 const listCall = 3 * units.Second
 
-// listAll reads all records whose keys have a prefix.
-func (t *Term) listAll(ctx context.Context, prefix string) ([]protocol.Item, error) {
-	var all []protocol.Item
+// listAll reads all records whose keys have a prefix, and gives the revision from which on
+// changes are not in it.
+func (t *Term) listAll(ctx context.Context, prefix string) (all []protocol.Item, revision uint64, err error) {
 	from := ""
 	for {
 		page, err := t.Store.List(ctx, prefix, from, listCall)
 		if err != nil {
-			return nil, err
+			return nil, 0, err
+		}
+		if from == "" {
+			revision = page.Revision
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			return all, nil
+			return all, revision, nil
 		}
 		from = page.Items[len(page.Items)-1].Key
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dunestand/internal/bookkeeping"
@@ -62,6 +63,7 @@
 	headroom          map[*bookkeeping.Machine]units.Resources // room that the last round kept for replicas
 	directRequests    map[string]*directRequest                // machines that are told something before their next report
 	saving            int
+	inboxUncleared    atomic.Bool // the inbox may hold what is to be taken out and was not
 	admission         termAdmission
 	provisioning      provisioningState
 
