--- a/internal/federation/model_test.go
+++ b/internal/federation/model_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"dunestand/internal/protocol"
+	_ "dunestand/internal/standin/fixedseed"
 	"dunestand/internal/units"
 )
 
