Divide WantRented: need by need, reserve, and the kinds they choose from

One function of 75 lines with two closures becomes a rentPlan with a method a step. Tests as they were.

--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -65,76 +65,146 @@
 // is, on the cheapest kinds that they allow and that were not refused lately,
 // and then the reserve. Room is reckoned as one pool a kind.
 func WantRented(v *FleetView) []Order {
-	all := offers(v)
-	pool := map[Kind]units.Resources{}
-	var total units.Amount
-	for _, o := range all {
-		n := v.Have[o.kind]
-		pool[o.kind] = units.Resources{}.Plus(o.size, n)
-		total += o.size.CPU * units.Amount(n)
+	p := newRentPlan(v)
+	needs := slices.Clone(v.Needs)
+	// What has the fewest kinds to choose from chooses first.
+	slices.SortStableFunc(needs, func(a, b Need) int { return cmp.Compare(p.choices(a), p.choices(b)) })
+	for _, n := range needs {
+		if left := p.useRoom(n); left > 0 {
+			p.rentFor(n, left)
+		}
 	}
-	orders := map[Kind]int{}
-	rent := func(o kindOffer, n int) {
-		orders[o.kind] += n
-		pool[o.kind] = pool[o.kind].Plus(o.size, n)
-		total += o.size.CPU * units.Amount(n)
+	p.rentReserve()
+	return p.result()
+}
+
+// rentPlan is a renting decision in the making.
+type rentPlan struct {
+	view   *FleetView
+	offers []kindOffer
+	pool   map[Kind]units.Resources // room left, of what there is and what is to be rented
+	orders map[Kind]int
+	total  units.Amount // processors of both
+}
+
+func newRentPlan(v *FleetView) *rentPlan {
+	p := &rentPlan{
+		view:   v,
+		offers: offers(v),
+		pool:   map[Kind]units.Resources{},
+		orders: map[Kind]int{},
 	}
-	needs := slices.Clone(v.Needs)
-	choices := func(n Need) int {
-		c := 0
-		for _, o := range all {
-			if allowed(n.Spec, o.kind.Type, o.kind.Zone, o.kind.Spot) {
-				c++
-			}
+	for _, o := range p.offers {
+		p.addMachines(o, v.Have[o.kind])
+	}
+	return p
+}
+
+// addMachines adds the room of some machines.
+func (p *rentPlan) addMachines(o kindOffer, n int) {
+	p.pool[o.kind] = p.pool[o.kind].Plus(o.size, n)
+	p.total += o.size.CPU * units.Amount(n)
+}
+
+func (p *rentPlan) rent(o kindOffer, n int) {
+	p.orders[o.kind] += n
+	p.addMachines(o, n)
+}
+
+// allows tells whether a need's tasks may be on machines of an offered kind.
+func (o *kindOffer) allows(n Need) bool {
+	return allowed(n.Spec, o.kind.Type, o.kind.Zone, o.kind.Spot)
+}
+
+// choices counts the kinds that a need's tasks may be on.
+func (p *rentPlan) choices(n Need) int {
+	count := 0
+	for i := range p.offers {
+		if p.offers[i].allows(n) {
+			count++
 		}
-		return c
 	}
-	slices.SortStableFunc(needs, func(a, b Need) int { return cmp.Compare(choices(a), choices(b)) })
-	for _, n := range needs {
-		left := n.Count
-		for _, o := range all {
-			if k := min(left, pool[o.kind].Fits(n.Spec.Need)); k > 0 && allowed(n.Spec, o.kind.Type, o.kind.Zone, o.kind.Spot) {
-				pool[o.kind] = pool[o.kind].Plus(n.Spec.Need, -k)
-				left -= k
-			}
+	return count
+}
+
+// useRoom takes room for a need's tasks and gives how many of them find none.
+func (p *rentPlan) useRoom(n Need) int {
+	left := n.Count
+	for i := range p.offers {
+		o := &p.offers[i]
+		if k := min(left, p.pool[o.kind].Fits(n.Spec.Need)); k > 0 && o.allows(n) {
+			p.pool[o.kind] = p.pool[o.kind].Plus(n.Spec.Need, -k)
+			left -= k
 		}
-		if left == 0 {
+	}
+	return left
+}
+
+// planned is how many machines of a kind there are and are to be rented.
+func (p *rentPlan) planned(kind Kind) int { return p.view.Have[kind] + p.orders[kind] }
+
+// rentFor rents machines of the kind that is cheapest for each of a need's tasks. Of
+// those alike it is the one with fewer machines.
+func (p *rentPlan) rentFor(n Need, tasks int) {
+	var best *kindOffer
+	bestCost, bestFits := 0.0, 0
+	for i := range p.offers {
+		o := &p.offers[i]
+		fits := o.size.Fits(n.Spec.Need)
+		if fits == 0 || p.view.Refused(o.kind) || !o.allows(n) {
 			continue
 		}
-		best, bestCost, bestFits := kindOffer{}, 0.0, 0
-		for _, o := range all {
-			fits := o.size.Fits(n.Spec.Need)
-			if fits == 0 || v.Refused(o.kind) || !allowed(n.Spec, o.kind.Type, o.kind.Zone, o.kind.Spot) {
-				continue
-			}
-			if c := o.cost / float64(fits); bestFits == 0 || c < bestCost || c == bestCost && v.Have[o.kind]+orders[o.kind] < v.Have[best.kind]+orders[best.kind] {
-				best, bestCost, bestFits = o, c, fits
-			}
+		cost := o.cost / float64(fits)
+		if best == nil || cost < bestCost || cost == bestCost && p.planned(o.kind) < p.planned(best.kind) {
+			best, bestCost, bestFits = o, cost, fits
 		}
-		if bestFits > 0 {
-			rent(best, (left+bestFits-1)/bestFits)
-			pool[best.kind] = pool[best.kind].Plus(n.Spec.Need, -left)
+	}
+	if best == nil {
+		return
+	}
+	p.rent(*best, (tasks+bestFits-1)/bestFits)
+	p.pool[best.kind] = p.pool[best.kind].Plus(n.Spec.Need, -tasks)
+}
+
+// rentReserve rents what lacks to the reserve, machine by machine.
+func (p *rentPlan) rentReserve() {
+	for p.total < p.view.Reserve {
+		best := p.cheapestPerCPU()
+		if best == nil {
+			return
 		}
+		p.rent(*best, 1)
 	}
-	for total < v.Reserve {
-		best := -1
-		for i, o := range all {
-			if o.size.CPU == 0 || v.Refused(o.kind) || orders[o.kind] >= protocol.MaxRent {
-				continue
-			}
-			if best < 0 || o.cost/o.size.CPU.Float() < all[best].cost/all[best].size.CPU.Float() ||
-				o.cost*all[best].size.CPU.Float() == all[best].cost*o.size.CPU.Float() && v.Have[o.kind]+orders[o.kind] < v.Have[all[best].kind]+orders[all[best].kind] {
-				best = i
-			}
+}
+
+// cheapestPerCPU gives the kind that may still be rented whose processors cost least; of
+// those alike, the one with fewer machines.
+func (p *rentPlan) cheapestPerCPU() *kindOffer {
+	var best *kindOffer
+	for i := range p.offers {
+		o := &p.offers[i]
+		if o.size.CPU == 0 || p.view.Refused(o.kind) || p.orders[o.kind] >= protocol.MaxRent {
+			continue
 		}
-		if best < 0 {
-			break
+		if best == nil {
+			best = o
+			continue
+		}
+		cost, bestCost := o.cost*best.size.CPU.Float(), best.cost*o.size.CPU.Float()
+		if o.costPerCPU() < best.costPerCPU() || cost == bestCost && p.planned(o.kind) < p.planned(best.kind) {
+			best = o
 		}
-		rent(all[best], 1)
 	}
+	return best
+}
+
+func (o *kindOffer) costPerCPU() float64 { return o.cost / o.size.CPU.Float() }
+
+// result gives the orders, in the order of the offers.
+func (p *rentPlan) result() []Order {
 	var out []Order
-	for _, o := range all {
-		if n := orders[o.kind]; n > 0 {
+	for _, o := range p.offers {
+		if n := p.orders[o.kind]; n > 0 {
 			out = append(out, Order{o.kind, min(n, protocol.MaxRent)})
 		}
 	}
