Divide Plan and observe into their steps

Plan: newPlanner, order, planJob, planOverdue, closeFullTeam; observe: observeMachine, dropMissing. No change of behaviour; tests as they were, all pass.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -117,58 +117,84 @@
 // whatever their priority; then jobs inside their team's guarantee, then by
 // priority, then by rank.
 func Plan(s *Snapshot) Wanted {
-	p := &planner{s: s, batch: s.Batch, taken: map[int]bool{}, leave: make([]units.Resources, len(s.Teams))}
+	p := newPlanner(s)
+	for _, i := range p.order() {
+		if p.batch <= 0 {
+			p.out.Cut = true
+			break
+		}
+		if j := &s.Jobs[i]; !s.Teams[j.Team].Closed {
+			p.planJob(i, j)
+		}
+	}
+	return p.out
+}
+
+func newPlanner(s *Snapshot) *planner {
+	p := &planner{
+		s:     s,
+		batch: s.Batch,
+		taken: map[int]bool{},
+		leave: make([]units.Resources, len(s.Teams)),
+	}
 	for i := range s.Teams {
 		p.leave[i] = s.Teams[i].Used
 	}
 	for k := range s.Machines {
 		p.freeing = p.freeing || s.Machines[k].Freeing != units.Resources{}
 	}
-	order := make([]int, len(s.Jobs))
+	return p
+}
+
+// order gives the places of the jobs in the snapshot, the one that goes first first.
+func (p *planner) order() []int {
+	order := make([]int, len(p.s.Jobs))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortFunc(order, func(a, b int) int { return compareJobs(&s.Jobs[a], &s.Jobs[b]) })
-	for _, i := range order {
-		if p.batch <= 0 {
-			p.out.Cut = true
-			break
-		}
-		j := &s.Jobs[i]
-		if s.Teams[j.Team].Closed {
-			continue
-		}
-		if j.Spec.Shape == protocol.Gang {
-			p.placeGang(i, j)
-			continue
-		}
-		if j.Overdue {
-			// One task goes before everything, the rest in its turn.
-			rest := j.Pending - 1
-			j.Pending = 1
-			p.place(i, j)
-			s.Teams[j.Team].Closed = p.teamRoom(j) == 0
-			if j.Pending > 0 {
-				p.preempt(i, j)
-				p.hold(i, j, 1)
-			}
-			j.Pending += rest
-			continue
-		}
-		p.place(i, j)
-		if j.Pending > 0 {
-			// Jobs of small tasks must not take what is left of the limit
-			// bit by bit, or a larger task would wait for ever.
-			s.Teams[j.Team].Closed = p.teamRoom(j) == 0
-			p.preempt(i, j)
-			if j.Patient && j.Spec.Priority >= protocol.High {
-				p.hold(i, j, j.Pending)
-			}
-		}
+	slices.SortFunc(order, func(a, b int) int { return compareJobs(&p.s.Jobs[a], &p.s.Jobs[b]) })
+	return order
+}
+
+// planJob starts what it can of a job, and makes room for the rest where that is allowed.
+func (p *planner) planJob(i int, j *JobView) {
+	switch {
+	case j.Spec.Shape == protocol.Gang:
+		p.placeGang(i, j)
+		return
+	case j.Overdue:
+		p.planOverdue(i, j)
+		return
+	}
+	p.place(i, j)
+	if j.Pending == 0 {
+		return
+	}
+	p.closeFullTeam(j)
+	p.preempt(i, j)
+	if j.Patient && j.Spec.Priority >= protocol.High {
+		p.hold(i, j, j.Pending)
 	}
-	return p.out
 }
 
+// planOverdue has one task of a job that has waited too long go before everything; the
+// rest goes in its turn.
+func (p *planner) planOverdue(i int, j *JobView) {
+	rest := j.Pending - 1
+	j.Pending = 1
+	p.place(i, j)
+	p.closeFullTeam(j)
+	if j.Pending > 0 {
+		p.preempt(i, j)
+		p.hold(i, j, 1)
+	}
+	j.Pending += rest
+}
+
+// closeFullTeam keeps the jobs that come after one whose team's limit has no room for it
+// from taking what is left of the limit bit by bit: a larger task would wait for ever.
+func (p *planner) closeFullTeam(j *JobView) { p.s.Teams[j.Team].Closed = p.teamRoom(j) == 0 }
+
 func compareJobs(a, b *JobView) int {
 	urgent := func(j *JobView) int {
 		if j.Spec.Priority >= protocol.High {
--- a/internal/coordination/report.go
+++ b/internal/coordination/report.go
@@ -115,6 +115,30 @@
 		return nil
 	}
 	t.checkDelivery(m, r, now)
+	t.observeMachine(m, r, now)
+	for i := range r.Tasks {
+		task := &r.Tasks[i]
+		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
+		if task.Stage == protocol.TaskExited {
+			t.exited(m, key, task, now)
+		} else {
+			t.alive(m, key, task, now)
+		}
+	}
+	t.dropMissing(m, r, now)
+	// Only a report that shows our term was sent after an answer of ours was
+	// received. Any other may be a copy that comes late, of a machine that is
+	// gone by now, and an answer of a former leader may still be on its way.
+	if m.Term != r.Term && r.Term == t.number {
+		t.ledger.Confirm(m.ID)
+		signal(t.roundSignal)
+	}
+	m.Term, m.HungCancelled = r.Term, false
+	return m
+}
+
+// observeMachine takes over what a report tells of the machine itself.
+func (t *Term) observeMachine(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) {
 	if m.Seen && r.Session > m.Session {
 		t.Log.Info("machine began a new session", "machine", m.ID, "session", r.Session, "lost", len(m.Attempts))
 		t.ledger.Emptied(m, now)
@@ -122,46 +146,34 @@
 	if !m.Seen {
 		t.Log.Info("machine reports", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "tasks", len(r.Tasks))
 	}
-	m.Seen, m.Session, m.Seq, m.LastAnswered = true, r.Session, r.Seq, now
+	m.Seen = true
+	m.Session, m.Seq = r.Session, r.Seq
+	m.LastAnswered = now
+	m.Stage = protocol.MachineRunning
 	if r.Endpoint != "" {
 		m.Endpoint = r.Endpoint
 	}
-	m.Stage = protocol.MachineRunning
 	if r.Noticed {
 		if m.NoticeEnds == 0 {
 			t.Log.Info("machine is to be taken", "machine", m.ID, "in_ms", r.Notice/units.Millisecond)
 		}
 		m.NoticeEnds = now + r.Notice
 	}
-	for i := range r.Tasks {
-		task := &r.Tasks[i]
-		key := bookkeeping.AttemptKey{Job: task.Job, Index: task.Index, Number: task.Attempt}
-		if task.Stage == protocol.TaskExited {
-			t.exited(m, key, task, now)
-		} else {
-			t.alive(m, key, task, now)
-		}
-	}
+}
+
+// dropMissing drops the attempts that a report, whose tasks were taken over, proves not to
+// be on the machine: they were sent with an earlier answer that never arrived, or the
+// worker has forgotten them.
+func (t *Term) dropMissing(m *bookkeeping.Machine, r *protocol.Report, now units.Micros) {
 	for _, a := range m.Attempts {
 		switch {
 		case a.SeenSeq == r.Seq, a.Stage == bookkeeping.Assigned:
 		case a.Stage == bookkeeping.Sent && r.Seq <= a.SentSeq:
 		default:
-			// Sent with an earlier answer that never arrived, or forgotten by
-			// the worker: a newer report without it proves it is not there.
 			t.trace("attempt is not there", a)
 			t.ledger.Gone(a, now)
 		}
 	}
-	// Only a report that shows our term was sent after an answer of ours was
-	// received. Any other may be a copy that comes late, of a machine that is
-	// gone by now, and an answer of a former leader may still be on its way.
-	if m.Term != r.Term && r.Term == t.number {
-		t.ledger.Confirm(m.ID)
-		signal(t.roundSignal)
-	}
-	m.Term, m.HungCancelled = r.Term, false
-	return m
 }
 
 // checkDelivery works out from a newer report whether the last answer that commanded
