Federation: a manager that carries transfers out, and their records in the state service

The daemon does not use it yet. coordination.transferStore keeps the records, conditional on version and bucket head, and finds out about saves without an answer by their id.

--- a/internal/coordination/inboxwatch.go
+++ b/internal/coordination/inboxwatch.go
@@ -40,7 +40,7 @@
 // read reads the whole inbox.
 func (w *inboxWatch) read(ctx context.Context, t *Term, now units.Micros) ([]protocol.Item, error) {
 	w.revision = 0
-	items, revision, err := t.listAll(ctx, bookkeeping.PrefixInbox)
+	items, revision, err := listAll(ctx, t.Store, bookkeeping.PrefixInbox)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordination/persistence.go
+++ b/internal/coordination/persistence.go
@@ -9,7 +9,6 @@
 
 	"dunestand/internal/admission"
 	"dunestand/internal/bookkeeping"
-	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
 
@@ -193,13 +192,11 @@
 	if err != nil || !ok {
 		return 0, false, err
 	}
-	var rec struct {
-		Save string `cbor:"save"`
-	}
-	if err := protocol.Decode(item.Value, &rec); err != nil {
+	save, err := saveOf(item.Value)
+	if err != nil {
 		return 0, false, err
 	}
-	return item.Version, rec.Save == s.ID, nil
+	return item.Version, save == s.ID, nil
 }
 
 func (t *Term) applied(s *bookkeeping.Save, version uint64) {
--- a/internal/coordination/planpublisher.go
+++ b/internal/coordination/planpublisher.go
@@ -225,7 +225,7 @@
 // nothing more can be accepted under that. So whoever is not known after it and has to
 // wait by the new plan stays unknown while it is in force.
 func (p *planPublisher) takeInbox(ctx context.Context) error {
-	items, _, err := p.term.listAll(ctx, bookkeeping.PrefixInbox)
+	items, _, err := listAll(ctx, p.term.Store, bookkeeping.PrefixInbox)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/restore.go
+++ b/internal/coordination/restore.go
@@ -59,7 +59,7 @@
 
 // readJobs reads all live jobs, and what is left over of jobs that are over, by job.
 func (t *Term) readJobs(ctx context.Context) (jobs []*bookkeeping.Job, orphans map[string][]string, err error) {
-	rows, _, err := t.listAll(ctx, bookkeeping.PrefixJobs)
+	rows, _, err := listAll(ctx, t.Store, bookkeeping.PrefixJobs)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -82,7 +82,7 @@
 // readStoredCatalog reads the catalog that a former leader stored, and the versions of its
 // records. One that cannot be read is logged, and stands for none.
 func (t *Term) readStoredCatalog(ctx context.Context) (protocol.Catalog, map[string]uint64, error) {
-	list, _, err := t.listAll(ctx, bookkeeping.KeyCatalog)
+	list, _, err := listAll(ctx, t.Store, bookkeeping.KeyCatalog)
 	if err != nil {
 		return protocol.Catalog{}, nil, err
 	}
@@ -116,7 +116,7 @@
 // time: from then on, saves of a former leader that are still on their way
 // fail.
 func (t *Term) claimBuckets(ctx context.Context) error {
-	items, _, err := t.listAll(ctx, bookkeeping.PrefixHeads)
+	items, _, err := listAll(ctx, t.Store, bookkeeping.PrefixHeads)
 	if err != nil {
 		return err
 	}
@@ -172,10 +172,10 @@
 
 // listAll reads all records whose keys have a prefix, and gives the revision from which on
 // changes are not in it.
-func (t *Term) listAll(ctx context.Context, prefix string) (all []protocol.Item, revision uint64, err error) {
+func listAll(ctx context.Context, store *bookkeeping.Store, prefix string) (all []protocol.Item, revision uint64, err error) {
 	from := ""
 	for {
-		page, err := t.Store.List(ctx, prefix, from, listCall)
+		page, err := store.List(ctx, prefix, from, listCall)
 		if err != nil {
 			return nil, 0, err
 		}
--- /dev/null
+++ b/internal/coordination/transferstore.go
@@ -0,0 +1,123 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/federation"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// transferStore keeps the records of transfers in the state service. Every save is
+// conditional on the record's version and on a bucket's head, so that a former leader
+// stores nothing. It implements federation.Store.
+type transferStore struct {
+	store *bookkeeping.Store
+	// head gives the bucket whose head fences a key, and that head's version.
+	head func(key string) (bucketKey string, version uint64)
+}
+
+// newTransferStore makes the store of a term.
+func newTransferStore(t *Term) *transferStore {
+	return &transferStore{
+		store: t.Store,
+		head: func(key string) (string, uint64) {
+			bucket := bookkeeping.BucketOf(key)
+			return bookkeeping.KeyHead(bucket), t.bucketVersion(bucket)
+		},
+	}
+}
+
+// transferBackoff is until a save whose outcome is open is looked at again.
+const transferBackoff = 200 * units.Millisecond
+
+// List implements federation.Store.
+func (s *transferStore) List(ctx context.Context, prefix string) ([]protocol.Item, error) {
+	items, _, err := listAll(ctx, s.store, prefix)
+	return items, err
+}
+
+// Save implements federation.Store. A save without an answer may be carried out at any
+// later time, so the very same one is sent until its outcome is known: its conditions see
+// to it that it happens once.
+func (s *transferStore) Save(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
+	txn := s.transaction(key, value, version)
+	uncertain := false
+	for {
+		revision, err := s.store.Commit(ctx, txn, bookkeeping.Paced, stateCall)
+		var conflict *bookkeeping.ConflictError
+		switch {
+		case err == nil:
+			return revision, nil
+		case errors.As(err, &conflict):
+			if uncertain {
+				return s.outcome(ctx, key, value)
+			}
+			return 0, fmt.Errorf("%w: %v", federation.ErrConflict, conflict.Keys)
+		case errors.Is(err, bookkeeping.ErrUncertain):
+			uncertain = true
+		case !uncertain:
+			return 0, err // certainly not carried out
+		}
+		if !pause(ctx, transferBackoff) {
+			// Nobody knows. Whoever goes on from here must read the record first.
+			return 0, fmt.Errorf("%w: the outcome of a save is not known", federation.ErrConflict)
+		}
+	}
+}
+
+func (s *transferStore) transaction(key string, value []byte, version uint64) protocol.Txn {
+	head, headVersion := s.head(key)
+	txn := protocol.Txn{If: []protocol.Condition{
+		{Key: key, Version: version},
+		{Key: head, Version: headVersion},
+	}}
+	if value == nil {
+		txn.Then = []protocol.Change{{Delete: key}}
+	} else {
+		txn.Then = []protocol.Change{{Set: key, Value: value}}
+	}
+	return txn
+}
+
+// outcome tells, of a save that met a conflict after a try without an answer, whether that
+// try was carried out: the record is then as it was to be.
+func (s *transferStore) outcome(ctx context.Context, key string, value []byte) (uint64, error) {
+	for {
+		item, found, err := s.store.Get(ctx, key, stateCall)
+		if err == nil {
+			if asWritten(item, found, value) {
+				return item.Version, nil
+			}
+			return 0, fmt.Errorf("%w: %s", federation.ErrConflict, key)
+		}
+		if !pause(ctx, transferBackoff) {
+			return 0, fmt.Errorf("%w: the outcome of a save is not known", federation.ErrConflict)
+		}
+	}
+}
+
+// asWritten tells whether a record is as a save of a value, or of its deletion, left it.
+func asWritten(item protocol.Item, found bool, value []byte) bool {
+	if value == nil || !found {
+		return value == nil && !found
+	}
+	theirs, err := saveOf(item.Value)
+	if err != nil {
+		return false
+	}
+	ours, err := saveOf(value)
+	return err == nil && ours == theirs
+}
+
+// saveOf gives the id of the save that a record was written by.
+func saveOf(value []byte) (string, error) {
+	var record struct {
+		Save string `cbor:"save"`
+	}
+	err := protocol.Decode(value, &record)
+	return record.Save, err
+}
--- /dev/null
+++ b/internal/coordination/transferstore_test.go
@@ -0,0 +1,103 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"dunestand/internal/bookkeeping"
+	"dunestand/internal/federation"
+	"dunestand/internal/protocol"
+	"dunestand/internal/standin"
+)
+
+var transferID = federation.TransferID{Origin: "mill", Job: "j-000001", Incarnation: 1}
+
+func transferRecord(phase federation.OriginPhase) *federation.OriginRecord {
+	return &federation.OriginRecord{Transfer: transferID, Target: "dye", Phase: phase}
+}
+
+// A transfer's record is stored, replaced, listed and deleted; a former leader does nothing
+// of that, and a save without an answer is found out about.
+func TestTransferRecordsAreFenced(t *testing.T) {
+	s := standin.NewState()
+	former := storedTerm(t, 1, s)
+	if !former.restore(t.Context()) {
+		t.Fatal("not restored")
+	}
+	old := newTransferStore(former)
+	intended, committed := transferRecord(federation.Intended), transferRecord(federation.Committed)
+	version, err := old.Save(t.Context(), intended.Key(), intended.Encode("1-1"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	term := storedTerm(t, 2, s)
+	if !term.restore(t.Context()) {
+		t.Fatal("not restored")
+	}
+	if _, err := old.Save(t.Context(), intended.Key(), committed.Encode("1-2"), version); !errors.Is(err, federation.ErrConflict) {
+		t.Fatalf("a former leader's save: %v", err)
+	}
+	store := newTransferStore(term)
+	items, err := store.List(t.Context(), federation.PrefixOut)
+	if err != nil || len(items) != 1 || items[0].Version != version {
+		t.Fatalf("listed: %v, %v", items, err)
+	}
+	if r, err := federation.ParseOrigin(items[0]); err != nil || r.Phase != federation.Intended {
+		t.Fatalf("read: %+v, %v", r, err)
+	}
+	if _, err := store.Save(t.Context(), intended.Key(), committed.Encode("2-1"), 0); !errors.Is(err, federation.ErrConflict) {
+		t.Errorf("a save on another version: %v", err)
+	}
+	s.Silent = func(n int) bool { return n%2 == 0 } // every other answer is lost
+	for n, value := range [][]byte{committed.Encode("2-2"), committed.Encode("2-3"), nil} {
+		if version, err = store.Save(t.Context(), intended.Key(), value, version); err != nil {
+			t.Fatalf("save %d: %v", n, err)
+		}
+	}
+	if left := s.Keys(federation.PrefixOut); len(left) != 0 {
+		t.Errorf("left: %v", left)
+	}
+}
+
+// Where the outcome of a save cannot be found out, it is not taken for one that was not
+// carried out.
+func TestTransferSaveOfUnknownOutcome(t *testing.T) {
+	s := standin.NewState()
+	term := storedTerm(t, 1, s)
+	if !term.restore(t.Context()) {
+		t.Fatal("not restored")
+	}
+	s.Silent = func(int) bool { return true }
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	record := transferRecord(federation.Intended)
+	if _, err := newTransferStore(term).Save(ctx, record.Key(), record.Encode("1-1"), 0); !errors.Is(err, federation.ErrConflict) {
+		t.Errorf("the save: %v", err)
+	}
+	if len(s.Keys(federation.PrefixOut)) != 1 {
+		t.Error("it was not carried out: the test shows nothing")
+	}
+}
+
+// A record is as a save left it if it has that save's id, or is gone as it was to be.
+func TestRecordAsWritten(t *testing.T) {
+	written := transferRecord(federation.Intended).Encode("1-1")
+	item := func(value []byte) protocol.Item { return protocol.Item{Key: bookkeeping.KeyFleet, Value: value} }
+	for n, c := range []struct {
+		there, value []byte
+		want         bool
+	}{
+		{written, written, true},
+		{transferRecord(federation.Committed).Encode("1-2"), written, false},
+		{protocol.Encode(7), written, false},
+		{nil, written, false},
+		{written, nil, false},
+		{nil, nil, true},
+	} {
+		if got := asWritten(item(c.there), c.there != nil, c.value); got != c.want {
+			t.Errorf("case %d: %v, want %v", n, got, c.want)
+		}
+	}
+}
--- a/internal/federation/helpers_test.go
+++ /dev/null
@@ -1,8 +0,0 @@
-package federation
-
-import (
-	"iter"
-	"maps"
-)
-
-func keysOf[K comparable, V any](m map[K]V) iter.Seq[K] { return maps.Keys(m) }
--- /dev/null
+++ b/internal/federation/manager.go
@@ -0,0 +1,518 @@
+package federation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// ErrConflict says that a record was not stored, as another leader has written since.
+var ErrConflict = errors.New("another leader has written the record")
+
+// Store keeps the records of a cell's transfers.
+type Store interface {
+	// List gives all records under a prefix.
+	List(ctx context.Context, prefix string) ([]protocol.Item, error)
+	// Save puts a value, or deletes the key if it is nil, on condition of the version
+	// that the record has, 0: none. It gives the new version. It returns an error other
+	// than ErrConflict only if the save is certain not to be carried out.
+	Save(ctx context.Context, key string, value []byte, version uint64) (uint64, error)
+}
+
+// Link sends messages to other cells. They may be lost, doubled or late.
+type Link interface {
+	Send(cell string, m Message)
+}
+
+// Scheduler runs jobs in this cell. Its methods are called again and again for the same
+// transfer; they return at once and do not call the Manager.
+type Scheduler interface {
+	// Run has the tasks of another cell's job run that are not done. The scheduler asks
+	// Manager.MayRun before each start, and before each answer to a machine that holds one.
+	Run(id TransferID, job []byte, done TaskSet)
+	// Stop has them stopped.
+	Stop(id TransferID)
+	// Progress tells how far the tasks are.
+	Progress(id TransferID) Progress
+	// Returned gives a job of this cell back to it, Finished and Withdrawn tell that one is
+	// over. They tell whether that is durable here; until then the transfer's record stays.
+	Returned(job string, done TaskSet, reruns int) bool
+	Finished(job string, done TaskSet) bool
+	Withdrawn(job string) bool
+}
+
+// Progress is how far the tasks of another cell's job are.
+type Progress struct {
+	// Done are the tasks that are done, durably.
+	Done TaskSet
+	// Complete: none is left to be done.
+	Complete bool
+	// Present: some may be on a machine.
+	Present bool
+}
+
+// Options are what a Manager needs.
+type Options struct {
+	Cells     *Cells
+	Store     Store
+	Link      Link
+	Scheduler Scheduler
+	Clock     units.Clock
+	Log       *slog.Logger
+	// Term is the incarnation of the fleet lease, ClaimedAt the steady time of its claim.
+	Term      uint64
+	ClaimedAt units.Micros
+	// Lost is called once when another leader has written a record.
+	Lost func()
+}
+
+// Stats count what a Manager did.
+type Stats struct{ Sent, Received, Rejected, Saves atomic.Int64 }
+
+// Manager carries out the transfers of a cell during one term of its leader: it stores
+// records, sends messages, repeats what is not answered and tells the scheduler. It is
+// safe for concurrent use.
+type Manager struct {
+	Options
+	Stats Stats
+
+	mu       sync.Mutex
+	out      map[string]*outgoing
+	in       map[TransferID]*incoming
+	blocked  map[string]error // keys of records that cannot be read
+	rooms    *Reservations
+	transfer uint64 // begun in this term
+	lost     bool
+}
+
+// outgoing is a transfer of a job of this cell. While its record is being stored it is
+// busy, and messages about it are dropped: they are repeated.
+type outgoing struct {
+	record  OriginRecord
+	version uint64
+	grantor Grantor
+	busy    bool
+}
+
+// incoming is a transfer of another cell's job.
+type incoming struct {
+	record  TargetRecord
+	version uint64
+	holder  Holder
+	busy    bool
+	asked   units.Micros // when the last Renew was sent
+}
+
+const (
+	// reservationHold is for how long a reservation lasts that no commitment follows.
+	reservationHold = 10 * units.Second
+	// renewShare is how many times within a lease the target asks for the next grant.
+	renewShare = 3
+	// takeBackAfter is for how many leases a target may be silent until the job is taken
+	// back.
+	takeBackAfter = 3
+	// incarnationBits leaves room for so many transfers in one term.
+	incarnationBits = 24
+)
+
+// NewManager begins a term. Restore has to be called before anything else.
+func NewManager(o Options) *Manager {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Manager{
+		Options: o,
+		out:     map[string]*outgoing{},
+		in:      map[TransferID]*incoming{},
+		blocked: map[string]error{},
+		rooms:   NewReservations(reservationHold),
+	}
+}
+
+// Restore reads the records. One that cannot be read is told, and its transfer stands
+// still; it is neither replaced nor answered for.
+func (m *Manager) Restore(ctx context.Context) error {
+	sent, err := m.Store.List(ctx, PrefixOut)
+	if err != nil {
+		return fmt.Errorf("transfers of this cell's jobs: %w", err)
+	}
+	taken, err := m.Store.List(ctx, PrefixIn)
+	if err != nil {
+		return fmt.Errorf("transfers of other cells' jobs: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, item := range sent {
+		r, err := ParseOrigin(item)
+		if err != nil {
+			m.block(item.Key, err)
+			continue
+		}
+		m.out[r.Transfer.Job] = &outgoing{record: *r, version: item.Version, grantor: NewGrantor(m.ClaimedAt)}
+	}
+	for _, item := range taken {
+		r, err := ParseTarget(item)
+		if err != nil {
+			m.block(item.Key, err)
+			continue
+		}
+		m.in[r.Transfer] = &incoming{record: *r, version: item.Version, holder: NewHolder(m.Term)}
+		m.rooms.Restore(r, m.Clock.Steady())
+	}
+	return nil
+}
+
+func (m *Manager) block(key string, err error) {
+	m.blocked[key] = err
+	m.Log.Error("the record of a transfer cannot be read; it is left alone", "key", key, "error", err)
+}
+
+// Blocked gives the error of the record that keeps a job's transfer from being restored.
+func (m *Manager) Blocked(job string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.blocked[PrefixOut+job]
+}
+
+// Offer tells how much work of other cells this one can take over beside its own.
+func (m *Manager) Offer(work Work) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rooms.SetCapacity(work)
+}
+
+// Free is how much of that is not promised.
+func (m *Manager) Free() Work {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rooms.Free()
+}
+
+// ErrNotMoved says that a job is not handed over.
+var ErrNotMoved = errors.New("the job is not handed over")
+
+// HandOver begins to hand a job over that has no task on a machine. reruns is how often it
+// was begun anew. The scheduler starts nothing of it until Returned is called.
+func (m *Manager) HandOver(ctx context.Context, job, class string, description []byte, work Work, reruns int, target string) error {
+	rules := m.Cells.Class(class)
+	switch {
+	case rules == nil:
+		return fmt.Errorf("%w: class %q stays where it is", ErrNotMoved, class)
+	case reruns > rules.Restarts:
+		return fmt.Errorf("%w: its class allows no further run", ErrNotMoved)
+	case target == m.Cells.Self || m.Cells.Cell(target) == nil:
+		return fmt.Errorf("%w: %q is no other cell", ErrNotMoved, target)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.out[job] != nil || m.blocked[PrefixOut+job] != nil {
+		return fmt.Errorf("%w: it has a transfer", ErrNotMoved)
+	}
+	m.transfer++
+	id := TransferID{Origin: m.Cells.Self, Job: job, Incarnation: m.Term<<incarnationBits | m.transfer}
+	if err := id.check(); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotMoved, err)
+	}
+	o := &outgoing{grantor: NewGrantor(m.ClaimedAt)}
+	m.out[job] = o
+	if m.originDecided(ctx, o, Begin(id, target, description, work, rules.Restarts, reruns)); o.version == 0 {
+		delete(m.out, job)
+		return fmt.Errorf("%w: its transfer was not stored", ErrNotMoved)
+	}
+	return nil
+}
+
+// Cancel begins to cancel a job that was handed over. It is called until the scheduler was
+// told, by Withdrawn, or has the job back by Returned; then its user may be told.
+func (m *Manager) Cancel(ctx context.Context, job string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o := m.out[job]; o != nil && !o.busy {
+		m.originDecided(ctx, o, o.record.Cancel())
+	}
+}
+
+// Ended is called before the end of a job is stored that had returned. It tells whether
+// the end may be stored.
+func (m *Manager) Ended(ctx context.Context, job string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := m.out[job]
+	switch {
+	case o == nil:
+		return true
+	case o.busy:
+		return false
+	}
+	m.originDecided(ctx, o, o.record.Ended())
+	return o.record.Phase == Withdrawn && !m.lost
+}
+
+// Owner tells who may start tasks of a job of this cell.
+func (m *Manager) Owner(job string) Owner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o := m.out[job]; o != nil {
+		return o.record.Owner()
+	}
+	if m.blocked[PrefixOut+job] != nil {
+		return Nobody
+	}
+	return HereAgain
+}
+
+// MayRun tells whether tasks of another cell's job may be started, and may go on.
+func (m *Manager) MayRun(id TransferID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i := m.in[id]
+	return i != nil && !m.lost && i.record.MayRun(&i.holder, m.Clock.Steady())
+}
+
+// Receive decides on a message from another cell.
+func (m *Manager) Receive(ctx context.Context, from string, msg Message) {
+	m.Stats.Received.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.permitted(from, &msg); err != nil {
+		m.Stats.Rejected.Add(1)
+		m.Log.Warn("message of a transfer refused", "from", from, "error", err)
+		return
+	}
+	if m.lost {
+		return
+	}
+	if msg.Kind.toTarget() {
+		m.receiveAtTarget(ctx, &msg)
+		return
+	}
+	m.receiveAtOrigin(ctx, from, &msg)
+}
+
+// permitted tells whether a cell may say what a message says.
+func (m *Manager) permitted(from string, msg *Message) error {
+	if err := msg.Check(); err != nil {
+		return err
+	}
+	switch {
+	case from == m.Cells.Self || m.Cells.Cell(from) == nil:
+		return fmt.Errorf("%w: %q is no other cell", ErrMessage, from)
+	case msg.Kind.toTarget() && msg.Transfer.Origin != from:
+		return fmt.Errorf("%w: %v speaks for %s", ErrMessage, from, msg.Transfer)
+	case !msg.Kind.toTarget() && msg.Transfer.Origin != m.Cells.Self:
+		return fmt.Errorf("%w: %s is no transfer of this cell", ErrMessage, msg.Transfer)
+	}
+	return nil
+}
+
+func (m *Manager) receiveAtTarget(ctx context.Context, msg *Message) {
+	now := m.Clock.Steady()
+	if i := m.in[msg.Transfer]; i != nil {
+		if !i.busy {
+			m.targetDecided(ctx, i, i.record.Receive(msg, &i.holder, m.Cells.Terms.Lease, now))
+		}
+		return
+	}
+	if m.blocked[keyIn(msg.Transfer)] != nil {
+		return
+	}
+	room := msg.Kind == Reserve && m.rooms.Try(msg.Transfer, msg.Work, now)
+	d := ReceiveNew(msg, room)
+	if !d.Save {
+		m.send(msg.Transfer.Origin, d.Send)
+		return
+	}
+	i := &incoming{holder: NewHolder(m.Term)}
+	m.in[msg.Transfer] = i
+	if m.targetDecided(ctx, i, d); i.version == 0 {
+		delete(m.in, msg.Transfer)
+		m.rooms.Release(msg.Transfer)
+	}
+}
+
+func (m *Manager) receiveAtOrigin(ctx context.Context, from string, msg *Message) {
+	o := m.out[msg.Transfer.Job]
+	switch {
+	case o == nil && m.blocked[PrefixOut+msg.Transfer.Job] != nil:
+	case o == nil, o.record.Transfer != msg.Transfer:
+		m.send(from, ReceiveUnknown(msg))
+	case !o.busy && o.record.Target == from:
+		m.originDecided(ctx, o, o.record.Receive(msg, &o.grantor, m.Clock.Steady()))
+	}
+}
+
+// Tick looks at every transfer: what is to be repeated, what has passed its time, and what
+// the scheduler has to know. It is called about once a second, by one goroutine.
+func (m *Manager) Tick(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range m.rooms.Expired(m.Clock.Steady()) {
+		if i := m.in[id]; i != nil && !i.busy {
+			m.targetDecided(ctx, i, i.record.Expire())
+		}
+	}
+	for _, job := range slices.Sorted(maps.Keys(m.out)) {
+		if o := m.out[job]; o != nil && !o.busy && !m.lost {
+			m.tickOutgoing(ctx, job, o)
+		}
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(m.in), compareTransfers) {
+		if i := m.in[id]; i != nil && !i.busy && !m.lost {
+			m.tickIncoming(ctx, i)
+		}
+	}
+}
+
+func (m *Manager) tickOutgoing(ctx context.Context, job string, o *outgoing) {
+	now := m.Clock.Steady()
+	m.originDecided(ctx, o, o.record.Tick(&o.grantor, now, m.Cells.Terms))
+	if o.grantor.Silent(now) > takeBackAfter*m.Cells.Terms.Lease {
+		m.originDecided(ctx, o, o.record.TakeBack())
+	}
+	m.originDecided(ctx, o, o.record.Repeat())
+	if told := m.tell(job, &o.record); told && o.record.Over() {
+		m.removeOutgoing(ctx, job, o)
+	}
+}
+
+// tell tells the scheduler where a job is now, and whether it knows so durably.
+func (m *Manager) tell(job string, r *OriginRecord) bool {
+	switch {
+	case r.Phase == Finished:
+		return m.Scheduler.Finished(job, r.Done)
+	case r.Phase == Withdrawn && r.Cause == Cancelled:
+		return m.Scheduler.Withdrawn(job)
+	case r.Phase == Withdrawn:
+		return true
+	case r.Phase == Returned:
+		return m.Scheduler.Returned(job, r.Done, r.NextReruns())
+	}
+	return false
+}
+
+func (m *Manager) removeOutgoing(ctx context.Context, job string, o *outgoing) {
+	if _, ok := m.save(ctx, &o.busy, o.record.Key(), nil, o.version); ok {
+		delete(m.out, job)
+	}
+}
+
+func (m *Manager) tickIncoming(ctx context.Context, i *incoming) {
+	now := m.Clock.Steady()
+	id := i.record.Transfer
+	if i.record.Phase == AcceptedHere {
+		m.tickAccepted(ctx, i, now)
+	}
+	if i.record.Phase != AcceptedHere { // Renew tells as much
+		m.targetDecided(ctx, i, i.record.Repeat())
+	}
+	if now-i.asked >= m.Cells.Terms.Lease/renewShare || i.asked == 0 {
+		i.asked = now
+		m.targetDecided(ctx, i, i.record.Renew(&i.holder, now))
+	}
+	if i.record.MayRun(&i.holder, m.Clock.Steady()) {
+		m.Scheduler.Run(id, i.record.Job, i.record.Done)
+		return
+	}
+	m.Scheduler.Stop(id)
+}
+
+// tickAccepted takes over how far the tasks are.
+func (m *Manager) tickAccepted(ctx context.Context, i *incoming, now units.Micros) {
+	progress := m.Scheduler.Progress(i.record.Transfer)
+	switch {
+	case i.record.Stopping && !progress.Present:
+		m.targetDecided(ctx, i, i.record.Stopped())
+	case progress.Complete && i.record.MayRun(&i.holder, now):
+		m.targetDecided(ctx, i, i.record.Complete(progress.Done, true))
+	case !i.record.Done.Contains(progress.Done):
+		m.targetDecided(ctx, i, i.record.Complete(progress.Done, false))
+	}
+}
+
+// originDecided carries a decision out: the record is stored, then messages are sent. The
+// lock is held, and given up while the record is being stored.
+func (m *Manager) originDecided(ctx context.Context, o *outgoing, d OriginDecision) {
+	if d.Save {
+		version, ok := m.save(ctx, &o.busy, d.Record.Key(), d.Record.Encode(m.saveID()), o.version)
+		if !ok {
+			return
+		}
+		if d.Record.Phase != o.record.Phase {
+			m.Log.Info("transfer of a job", "transfer", d.Record.Transfer.String(), "target", d.Record.Target,
+				"phase", int(d.Record.Phase), "run", d.Record.Run)
+		}
+		o.record, o.version = d.Record, version
+	}
+	m.send(d.Record.Target, d.Send)
+}
+
+func (m *Manager) targetDecided(ctx context.Context, i *incoming, d TargetDecision) {
+	id := d.Record.Transfer
+	switch {
+	case d.Remove:
+		if _, ok := m.save(ctx, &i.busy, d.Record.Key(), nil, i.version); ok {
+			delete(m.in, id)
+			m.rooms.Release(id)
+		}
+		return
+	case d.Save:
+		version, ok := m.save(ctx, &i.busy, d.Record.Key(), d.Record.Encode(m.saveID()), i.version)
+		if !ok {
+			return
+		}
+		if d.Record.Phase != i.record.Phase {
+			m.Log.Info("transfer of another cell's job", "transfer", id.String(), "phase", int(d.Record.Phase), "run", d.Record.Run)
+		}
+		i.record, i.version = d.Record, version
+		m.keepRoom(&i.record)
+	}
+	m.send(id.Origin, d.Send)
+}
+
+// keepRoom has the reservations follow a record.
+func (m *Manager) keepRoom(r *TargetRecord) {
+	switch r.Phase {
+	case AcceptedHere:
+		m.rooms.Commit(r.Transfer)
+	case FinishedHere, RefusedHere:
+		m.rooms.Release(r.Transfer)
+	}
+}
+
+func (m *Manager) saveID() string { return fmt.Sprintf("%d-%d", m.Term, m.Stats.Saves.Load()+1) }
+
+// save stores a value, with the lock given up meanwhile.
+func (m *Manager) save(ctx context.Context, busy *bool, key string, value []byte, version uint64) (uint64, bool) {
+	if m.lost {
+		return 0, false
+	}
+	*busy = true
+	m.mu.Unlock()
+	m.Stats.Saves.Add(1)
+	stored, err := m.Store.Save(ctx, key, value, version)
+	m.mu.Lock()
+	*busy = false
+	if errors.Is(err, ErrConflict) && !m.lost {
+		m.lost = true
+		m.Log.Error("the record of a transfer was written by another leader", "key", key)
+		if m.Lost != nil {
+			m.Lost()
+		}
+	}
+	return stored, err == nil
+}
+
+func (m *Manager) send(cell string, messages []Message) {
+	for _, msg := range messages {
+		m.Stats.Sent.Add(1)
+		m.Link.Send(cell, msg)
+	}
+}
--- /dev/null
+++ b/internal/federation/manager_test.go
@@ -0,0 +1,252 @@
+package federation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+func newRegion(t *testing.T, seed uint64) *region {
+	cells := deployed(t)
+	cells.Terms = Terms{Lease: 10 * units.Second, Stop: 15 * units.Second}
+	r := &region{
+		t:       t,
+		clock:   bubbleClock{time.Now()},
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		cells:   map[string]*standInCell{},
+		terms:   cells,
+		cut:     map[string]bool{},
+		answers: map[string]string{},
+		runsIn:  map[string]map[string]bool{},
+	}
+	for name, slots := range map[string]int{"mill": 4, "dye": 16, "recipes": 16} {
+		r.cells[name] = &standInCell{
+			name:    name,
+			region:  r,
+			store:   &memoryStore{items: map[string]protocol.Item{}},
+			slots:   slots,
+			foreign: map[TransferID]TaskSet{},
+			wanted:  map[TransferID]bool{},
+		}
+	}
+	for _, c := range r.cells {
+		c.lead()
+	}
+	return r
+}
+
+// pass lets the cells work for a time.
+func (r *region) pass(length time.Duration) {
+	for step := range int(length / (250 * time.Millisecond)) {
+		time.Sleep(250 * time.Millisecond)
+		synctest.Wait()
+		for _, name := range []string{"mill", "dye", "recipes"} {
+			r.cells[name].work()
+			if step%4 == 0 {
+				r.cells[name].finish(context.Background())
+			}
+		}
+	}
+}
+
+func (r *region) submit(cell string, n int, class string) {
+	c := r.cells[cell]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range n {
+		c.jobs = append(c.jobs, &cellJob{id: fmt.Sprintf("j-%06d", len(c.jobs)+1), class: class})
+	}
+}
+
+// Three stand-in cells, the mill overloaded, the dyehouse cut off and later without half
+// of its machines, leaders ending all the while: every job gets exactly one final answer.
+func TestThreeStandInCells(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { threeCells(t, seed) })
+		})
+	}
+}
+
+func threeCells(t *testing.T, seed uint64) {
+	r := newRegion(t, seed)
+	for _, class := range []string{"loomplan", "rushorder", "yarnrecount"} {
+		r.submit("mill", 12, class)
+	}
+	r.pass(8 * time.Second)
+	r.setCut("dye", true)
+	r.cancelSome()
+	r.restart("mill", 2*time.Second)
+	r.pass(40 * time.Second)
+	r.restart("dye", time.Second)
+	r.pass(60 * time.Second)
+	r.setCut("dye", false)
+	r.cells["dye"].slots /= 2
+	r.restart("recipes", 20*time.Second)
+	r.pass(10 * time.Second)
+	r.outage("mill", 15*time.Second)
+	r.pass(10 * time.Minute)
+	count := map[string]int{}
+	for _, j := range r.cells["mill"].jobs {
+		count[r.answers[j.id]]++
+	}
+	if count["done"]+count["cancelled"] != 36 || count["done"] < 30 {
+		t.Errorf("36 jobs ended as %v", count)
+	}
+	moved, messages, saves := 0, int64(0), int64(0)
+	for name, c := range r.cells {
+		messages += c.manager.Stats.Sent.Load()
+		saves += c.manager.Stats.Saves.Load()
+		if len(c.store.items) != 0 {
+			t.Errorf("%s keeps %d records", name, len(c.store.items))
+		}
+		moved += len(c.foreign)
+	}
+	if moved == 0 {
+		t.Error("no job was handed over")
+	}
+	t.Logf("%v; %d transfers began to run; of the last leaders %d messages, %d saves", count, moved, messages, saves)
+	for _, c := range r.cells {
+		c.end()
+	}
+	time.Sleep(2 * time.Minute) // late messages
+}
+
+func (r *region) setCut(cell string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[cell] = cut
+}
+
+// cancelSome cancels every sixth job.
+func (r *region) cancelSome() {
+	c := r.cells["mill"]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, j := range c.jobs {
+		j.cancel = j.cancel || k%6 == 5
+	}
+}
+
+func (r *region) restart(cell string, away time.Duration) {
+	r.cells[cell].end()
+	r.pass(away)
+	r.cells[cell].lead()
+}
+
+// outage has a cell's state service refuse for a while.
+func (r *region) outage(cell string, length time.Duration) {
+	s := r.cells[cell].store
+	set := func(down bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.down = down
+	}
+	set(true)
+	r.pass(length)
+	set(false)
+}
+
+// A leader that was replaced stores nothing, stops, and says so once.
+func TestReplacedLeaderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 1)
+		r.submit("mill", 2, "loomplan")
+		c := r.cells["mill"]
+		old, lost := c.manager, 0
+		old.Lost = func() { lost++ }
+		ctx := t.Context()
+		if err := old.HandOver(ctx, "j-000001", "loomplan", nil, 10, 0, "dye"); err != nil {
+			t.Fatal(err)
+		}
+		c.lead()
+		c.manager.Cancel(ctx, "j-000001") // the new leader writes
+		old.Cancel(ctx, "j-000001")
+		for range 3 {
+			old.Tick(ctx)
+		}
+		if err := old.HandOver(ctx, "j-000002", "loomplan", nil, 10, 0, "dye"); !errors.Is(err, ErrNotMoved) {
+			t.Errorf("it begins a transfer: %v", err)
+		}
+		if lost != 1 {
+			t.Errorf("it says %d times that it was replaced", lost)
+		}
+	})
+}
+
+// What may not be handed over is refused with the reason, and stays where it is.
+func TestWhatIsNotHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 1)
+		m := r.cells["mill"].manager
+		for what, try := range map[string]func() error{
+			"unknown class": func() error { return m.HandOver(t.Context(), "j-000001", "other", nil, 1, 0, "dye") },
+			"to itself":     func() error { return m.HandOver(t.Context(), "j-000001", "loomplan", nil, 1, 0, "mill") },
+			"to nowhere":    func() error { return m.HandOver(t.Context(), "j-000001", "loomplan", nil, 1, 0, "loom") },
+			"used up":       func() error { return m.HandOver(t.Context(), "j-000001", "yarnrecount", nil, 1, 3, "dye") },
+			"bad id":        func() error { return m.HandOver(t.Context(), "job", "loomplan", nil, 1, 0, "dye") },
+		} {
+			if err := try(); !errors.Is(err, ErrNotMoved) || m.Owner("j-000001") != HereAgain {
+				t.Errorf("%s: %v", what, err)
+			}
+		}
+	})
+}
+
+// A record that cannot be read blocks its job alone: it is not replaced, and messages
+// about it get no answer.
+func TestUnreadableRecordBlocksItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 1)
+		c := r.cells["mill"]
+		raw := protocol.Encode("damaged")
+		in := TransferID{Origin: "dye", Job: "j-000009", Incarnation: 7}
+		for _, key := range []string{PrefixOut + "j-000001", keyIn(in)} {
+			c.store.items[key] = protocol.Item{Key: key, Value: raw, Version: 5}
+		}
+		c.lead()
+		if err := c.manager.Blocked("j-000001"); !errors.Is(err, ErrUnreadable) || c.manager.Owner("j-000001") != Nobody {
+			t.Errorf("the job is not blocked: %v", err)
+		}
+		if err := c.manager.HandOver(t.Context(), "j-000001", "loomplan", nil, 1, 0, "dye"); !errors.Is(err, ErrNotMoved) {
+			t.Errorf("it is handed over: %v", err)
+		}
+		out := TransferID{Origin: "mill", Job: "j-000001", Incarnation: 1}
+		c.manager.Receive(t.Context(), "dye", Message{Kind: Refused, Transfer: out})
+		c.manager.Receive(t.Context(), "dye", Message{Kind: Commit, Transfer: in})
+		c.manager.Tick(t.Context())
+		if sent, saves := c.manager.Stats.Sent.Load(), c.manager.Stats.Saves.Load(); sent != 0 || saves != 0 {
+			t.Errorf("%d messages and %d saves about what cannot be read", sent, saves)
+		}
+	})
+}
+
+// A cell may speak only for its own transfers, and only cells of the file are heard.
+func TestMessagesOfOthersAreRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newRegion(t, 1).cells["mill"].manager
+		of := func(cell string) TransferID { return TransferID{Origin: cell, Job: "j-000001", Incarnation: 1} }
+		for n, c := range []struct {
+			from string
+			m    Message
+		}{
+			{"recipes", Message{Kind: Reserve, Transfer: of("dye"), Work: 1}},
+			{"dye", Message{Kind: Refused, Transfer: of("dye")}},
+			{"mill", Message{Kind: Reserve, Transfer: of("mill"), Work: 1}},
+			{"loom", Message{Kind: Reserve, Transfer: of("loom"), Work: 1}},
+			{"dye", Message{Kind: messageKinds, Transfer: of("dye")}},
+		} {
+			m.Receive(t.Context(), c.from, c.m)
+			if got := m.Stats.Rejected.Load(); got != int64(n+1) || m.Stats.Sent.Load() != 0 {
+				t.Errorf("%s says %v of %v: rejected %d, answered %d", c.from, c.m.Kind, c.m.Transfer, got, m.Stats.Sent.Load())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/federation/managertrouble_test.go
@@ -0,0 +1,117 @@
+package federation
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dunestand/internal/units"
+)
+
+// delegated is a region in which the dyehouse runs a job of the mill.
+func delegated(t *testing.T, class string) (*region, TransferID) {
+	r := newRegion(t, 3)
+	r.submit("mill", 1, class)
+	c := r.cells["mill"]
+	c.jobs[0].held = true
+	if err := c.manager.HandOver(t.Context(), "j-000001", class, nil, 10, 0, "dye"); err != nil {
+		t.Fatal(err)
+	}
+	id := c.manager.out["j-000001"].record.Transfer
+	for range 20 {
+		if r.pass(time.Second); r.cells["dye"].manager.MayRun(id) {
+			return r, id
+		}
+	}
+	t.Fatal("the target does not get to run the job")
+	return nil, id
+}
+
+// A job whose target is cut off for ever is taken back once the lease, the time to stop
+// and the drift have passed; one that may not be begun again waits.
+func TestJobIsTakenBackFromACellThatIsCutOff(t *testing.T) {
+	for class, want := range map[string]Owner{"loomplan": HereAgain, "rushorder": There} {
+		synctest.Test(t, func(t *testing.T) {
+			r, _ := delegated(t, class)
+			r.cells["dye"].slots = 0 // it gets no further
+			r.setCut("dye", true)
+			m := r.cells["mill"].manager
+			r.pass((takeBackAfter*r.terms.Terms.Lease + r.terms.Terms.Certain() + 3*units.Second).Duration())
+			if got := m.Owner("j-000001"); got != want && !(want == HereAgain && got == NeverAgain) {
+				t.Errorf("%s: owner %d, want %d", class, got, want)
+			}
+		})
+	}
+}
+
+// A leader that begins while a job is elsewhere does not know of its predecessor's last
+// grant: it takes its own claim for it, also when the job is cancelled at once.
+func TestNewLeaderWaitsForItsPredecessorsGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, id := delegated(t, "loomplan")
+		c := r.cells["mill"]
+		c.end()
+		r.setCut("dye", true)
+		c.lead()
+		c.manager.Cancel(t.Context(), "j-000001")
+		r.pass((r.terms.Terms.Certain() - 2*units.Second).Duration())
+		if got := c.manager.Owner("j-000001"); got != Nobody {
+			t.Errorf("before the time has passed: owner %d", got)
+		}
+		r.pass(4 * time.Second)
+		if got := c.manager.Owner("j-000001"); got != NeverAgain || r.answers["j-000001"] != "cancelled" {
+			t.Errorf("after it: owner %d, answer %q", got, r.answers["j-000001"])
+		}
+		if d := r.cells["dye"]; d.manager.MayRun(id) || d.wanted[id] {
+			t.Error("the target goes on")
+		}
+	})
+}
+
+// While the state service is down nothing is decided and nothing is sent that rests on a
+// decision.
+func TestNothingIsSentThatIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, 1)
+		m := r.cells["mill"].manager
+		if err := m.HandOver(t.Context(), "j-000001", "loomplan", nil, 10, 0, "dye"); err != nil {
+			t.Fatal(err)
+		}
+		id := m.out["j-000001"].record.Transfer
+		r.cells["mill"].store.down = true
+		before := m.Stats.Sent.Load()
+		m.Receive(t.Context(), "dye", Message{Kind: Reserved, Transfer: id})
+		m.Receive(t.Context(), "dye", Message{Kind: Reserve, Transfer: TransferID{"dye", "j-000002", 1}, Work: 1})
+		if sent := m.Stats.Sent.Load() - before; sent != 0 || m.out["j-000001"].record.Phase != Intended {
+			t.Errorf("%d messages, phase %d", sent, m.out["j-000001"].record.Phase)
+		}
+		if free := m.Free(); free != Work(r.cells["mill"].slots)*100_000 {
+			t.Errorf("%d free: a reservation that is not stored is kept", free)
+		}
+	})
+}
+
+// Only its target may tell how a job ended, and nobody once its user was told.
+func TestLateAndForeignResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, id := delegated(t, "loomplan")
+		m := r.cells["mill"].manager
+		result := Message{Kind: Result, Transfer: id, Done: TaskSet{15}, Run: 1}
+		m.Receive(t.Context(), "recipes", result)
+		if got := m.Owner("j-000001"); got != There {
+			t.Errorf("another cell tells of the end: owner %d", got)
+		}
+		if m.Ended(t.Context(), "j-000001") {
+			t.Error("a job that is elsewhere may end here")
+		}
+		o := m.out["j-000001"]
+		o.record.Phase = Returned
+		if !m.Ended(t.Context(), "j-000001") {
+			t.Fatal("a job that is back may not end")
+		}
+		m.Receive(t.Context(), "dye", result)
+		if o.record.Phase != Withdrawn {
+			t.Errorf("a result after the job's end: phase %d", o.record.Phase)
+		}
+	})
+}
--- a/internal/federation/model_test.go
+++ b/internal/federation/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -237,7 +238,7 @@
 			c.leader.rooms.Release(id)
 		}
 	}
-	for _, id := range slices.SortedFunc(keysOf(c.in), compareTransfers) {
+	for _, id := range slices.SortedFunc(maps.Keys(c.in), compareTransfers) {
 		if r, ok := c.in[id]; ok && m.now >= c.up {
 			m.tickTarget(c, r)
 		}
--- a/internal/federation/origin.go
+++ b/internal/federation/origin.go
@@ -79,8 +79,13 @@
 		return There
 	case Returned:
 		return HereAgain
-	case Finished, Withdrawn:
+	case Finished:
 		return NeverAgain
+	case Withdrawn:
+		if r.Cause == Cancelled {
+			return NeverAgain
+		}
+		return HereAgain // its own record tells that it is over
 	}
 	return Nobody
 }
@@ -295,8 +300,8 @@
 }
 
 // Ended is called when a job that had returned is done or cancelled at its origin. The
-// record is to be stored in the same transaction as the job's end: a result that comes
-// late from the target must not change what the user was told.
+// record is stored before the job's end, or with it: a result that comes late from the
+// target must not change what the user was told.
 func (r OriginRecord) Ended() OriginDecision {
 	if r.Phase != Returned {
 		return r.keep()
