--- a/internal/coordination/headroom.go
+++ b/internal/coordination/headroom.go
@@ -31,18 +31,50 @@
 	if like == nil {
 		return nil
 	}
+	needed := typesNeededWhole(machines, jobs, like)
+	byZone, fleet := headroomCandidates(machines, like)
+	each := headroomPerZone
+	if all := like.Need.CPU * headroomFleetShare * units.Amount(len(byZone)); all > 0 {
+		each = int(min(units.Amount(each), fleet/all))
+	}
+	var out []int
+	for _, zone := range sortedKeys(byZone) {
+		list := byZone[zone]
+		slices.SortStableFunc(list, func(a, b int) int {
+			x, y := &machines[a], &machines[b]
+			return cmp.Or(
+				compareBools(needed[x.Type], needed[y.Type]),
+				-compareBools(x.Free.Fits(like.Need) > 0, y.Free.Fits(like.Need) > 0),
+				-compareBools(before(a), before(b)),
+				-compareBools(x.Images(like.Image), y.Images(like.Image)),
+				-cmp.Compare(x.Size.CPU, y.Size.CPU))
+		})
+		out = append(out, list[:min(each, len(list))]...)
+	}
+	return out
+}
+
+// typesNeededWhole gives the types of which some waiting task needs so much of a machine
+// that a replica does not fit beside it.
+func typesNeededWhole(machines []MachineView, jobs []JobView, like *protocol.JobSpec) map[string]bool {
 	needed := map[string]bool{}
 	for k := range machines {
 		m := &machines[k]
-		if _, seen := needed[m.Type]; !seen {
-			rest := m.Size.Plus(like.Need, -1)
-			needed[m.Type] = slices.ContainsFunc(jobs, func(j JobView) bool {
-				return m.Size.Fits(j.Spec.Need) > 0 && rest.Fits(j.Spec.Need) == 0
-			})
+		if _, seen := needed[m.Type]; seen {
+			continue
 		}
+		rest := m.Size.Plus(like.Need, -1)
+		needed[m.Type] = slices.ContainsFunc(jobs, func(j JobView) bool {
+			return m.Size.Fits(j.Spec.Need) > 0 && rest.Fits(j.Spec.Need) == 0
+		})
 	}
-	byZone := map[string][]int{}
-	var fleet units.Amount
+	return needed
+}
+
+// headroomCandidates gives by zone the machines on which room for a replica may be kept,
+// and the processors of all machines that may be given work.
+func headroomCandidates(machines []MachineView, like *protocol.JobSpec) (byZone map[string][]int, fleet units.Amount) {
+	byZone = map[string][]int{}
 	for k := range machines {
 		m := &machines[k]
 		if !m.Accepts {
@@ -53,31 +85,18 @@
 			byZone[m.Zone] = append(byZone[m.Zone], k)
 		}
 	}
-	each := headroomPerZone
-	if all := like.Need.CPU * headroomFleetShare * units.Amount(len(byZone)); all > 0 {
-		each = int(min(units.Amount(each), fleet/all))
-	}
-	number := func(b bool) int {
-		if b {
-			return 1
-		}
+	return byZone, fleet
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
 		return 0
+	case b:
+		return -1
 	}
-	var out []int
-	for _, zone := range sortedKeys(byZone) {
-		list := byZone[zone]
-		slices.SortStableFunc(list, func(a, b int) int {
-			x, y := &machines[a], &machines[b]
-			return cmp.Or(
-				cmp.Compare(number(needed[x.Type]), number(needed[y.Type])),
-				-cmp.Compare(number(x.Free.Fits(like.Need) > 0), number(y.Free.Fits(like.Need) > 0)),
-				-cmp.Compare(number(before(a)), number(before(b))),
-				-cmp.Compare(number(x.Images(like.Image)), number(y.Images(like.Image))),
-				-cmp.Compare(x.Size.CPU, y.Size.CPU))
-		})
-		out = append(out, list[:min(each, len(list))]...)
-	}
-	return out
+	return 1
 }
 
 // headroomReplica gives the urgent service whose replicas take most, nil if there is
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -202,20 +202,14 @@
 		}
 		return 0
 	}
-	number := func(b bool) int {
-		if b {
-			return 1
-		}
-		return 0
-	}
 	if a.Overdue && b.Overdue {
 		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	}
 	return cmp.Or(
-		-cmp.Compare(number(a.Overdue), number(b.Overdue)),
+		-compareBools(a.Overdue, b.Overdue),
 		-cmp.Compare(urgent(a), urgent(b)),
-		cmp.Compare(number(a.Late), number(b.Late)),
-		-cmp.Compare(number(a.Guaranteed), number(b.Guaranteed)),
+		compareBools(a.Late, b.Late),
+		-compareBools(a.Guaranteed, b.Guaranteed),
 		-cmp.Compare(a.Spec.Priority, b.Spec.Priority),
 		cmp.Compare(a.Rank, b.Rank),
 		cmp.Compare(a.Order, b.Order),
