Every attempt that a machine shows counts, a second one of its task too (incident)

Cause: a leader kept one attempt of a task. The attempt that another machine showed was left out, its machine marked as reconciled all the same, and its name dropped from the job's record in time. Where the attempt that was kept came from a copy of an old heartbeat, its end made the task pending while it ran. Class: stale knowledge in the place of proof, 'no attempt is known' taken for 'it runs nowhere'.

Change: LiveAttempts chains the attempts of a task, the one with the highest number first. Adopting takes any that a machine shows; all but the latest are stopped, as a leader starts a task again only once the former attempt is known to be gone. The task is pending once none is left. A start that was assigned waits while another attempt of its task may be on a machine. A completion stops the other attempts; a replica's late 'done' no longer stops the one that runs.

--- a/internal/cluster/attempt.go
+++ b/internal/cluster/attempt.go
@@ -52,6 +52,13 @@
 	RunningSince units.Micros // steady time, 0 until it was seen running
 	Stopping     bool         // it is to be stopped
 	GracePeriod  units.Micros // for its checkpoint, once it is to be stopped
+
+	earlier *Attempt // of the same task, see LiveAttempts
+}
+
+// HasRival reports whether another attempt of the same task may be on a machine.
+func (a *Attempt) HasRival() bool {
+	return a.earlier != nil || a.Job.LiveAttempts[a.Index] != a
 }
 
 // TaskName returns the name of the attempt's task.
@@ -75,16 +82,34 @@
 }
 
 // Adopt adds an attempt that a machine listed in a heartbeat and that this leader did not
-// start.
+// start. It is added whether it is wanted or not, since what may be on a machine counts: an
+// attempt left out is on no machine that the leader knows, and its task starts once more. One
+// that is not wanted is to be stopped.
 func (s *State) Adopt(j *Job, i int, number uint64, m *Machine, now units.Micros) *Attempt {
 	if j.records.recordMachine(m.ID) {
 		j.MarkChanged(now, false)
 	}
-	return s.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Fetching, AssignedAt: now})
+	a := s.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Fetching, AssignedAt: now})
+	s.StopUnwanted(j, i)
+	return a
+}
+
+// StopUnwanted stops the attempts of a task that are not wanted: all but the latest, or all of
+// them if the task is done. A leader starts a task again only once every earlier attempt is
+// known to be gone, so an earlier one that a heartbeat shows is over, or must be.
+func (s *State) StopUnwanted(j *Job, i int) {
+	latest := j.LiveAttempts[i]
+	for a := range j.LiveAttempts.Of(i) {
+		if !a.Stopping && (a != latest || j.IsDone(i)) {
+			s.StopAttempt(a, 0)
+		}
+	}
 }
 
 func (s *State) attach(a *Attempt) *Attempt {
-	a.Job.LiveAttempts[a.Index] = a
+	if a.Job.LiveAttempts.add(a) && a.Job.IsDone(a.Index) {
+		a.Job.doneAndLive++
+	}
 	a.Job.records.attempts[a.Machine.ID]++
 	a.Machine.Attempts[a.key()] = a
 	s.addUsage(a, 1, 0)
@@ -100,9 +125,9 @@
 	a.GracePeriod = grace
 }
 
-// AttemptGone removes an attempt that is certainly not on its machine any more. Unless
-// its task is done, the task is pending again. An attempt that was removed before is left
-// alone.
+// AttemptGone removes an attempt that is certainly not on its machine any more. The task is
+// pending again once no attempt of it is left, unless it is done. An attempt that was removed
+// before is left alone.
 func (s *State) AttemptGone(a *Attempt, now units.Micros) {
 	key := a.key()
 	if a.Machine.Attempts[key] != a {
@@ -110,11 +135,8 @@
 	}
 	delete(a.Machine.Attempts, key)
 	a.Job.records.attemptGone(a.Machine.ID)
-	if a.Job.LiveAttempts[a.Index] == a {
-		delete(a.Job.LiveAttempts, a.Index)
-		if !a.Job.IsDone(a.Index) {
-			a.Job.pending.retries = append(a.Job.pending.retries, a.Index)
-		}
+	if a.Job.LiveAttempts.remove(a) {
+		a.Job.taskOffMachines(a.Index)
 	}
 	freeing := 0
 	if a.Stopping {
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -14,16 +14,17 @@
 	Cancelled bool
 	// CancelDurable: the cancellation is durable, so its user may be told.
 	CancelDurable bool
-	LiveAttempts  map[int]*Attempt // by task
+	LiveAttempts  LiveAttempts
 	// UnreconciledMachines may hold tasks of the job that no heartbeat has shown.
 	UnreconciledMachines map[string]bool
 	LearnedAt            units.Micros // steady time when this leader learnt of it
 	JobOutcomes
 
-	done    doneTasks
-	pending pendingTasks
-	records jobRecords
-	write   writeState
+	done        doneTasks
+	doneAndLive int // tasks that are done and have live attempts
+	pending     pendingTasks
+	records     jobRecords
+	write       writeState
 
 	stored bool // a record exists in the key-value store
 	// inPendingQueue: the store's queue of pending submissions holds it, to be deleted there.
@@ -49,7 +50,7 @@
 	j := &Job{
 		Spec:                 spec,
 		Submitted:            submitted,
-		LiveAttempts:         map[int]*Attempt{},
+		LiveAttempts:         LiveAttempts{},
 		UnreconciledMachines: map[string]bool{},
 		JobOutcomes:          JobOutcomes{FailedMachines: map[string]bool{}},
 		done:                 newDoneTasks(spec.Tasks),
@@ -80,9 +81,19 @@
 func (j *Job) Complete() bool { return !j.IsService() && j.done.count == j.Spec.Tasks }
 
 // Pending returns the number of tasks that are neither done nor on a machine. A
-// task can be both for a moment, when a former leader's attempt turns out to
-// have completed.
-func (j *Job) Pending() int { return max(0, j.Spec.Tasks-j.done.count-len(j.LiveAttempts)) }
+// task can be both until its last attempt is known to be gone.
+func (j *Job) Pending() int {
+	return j.Spec.Tasks - j.done.count - len(j.LiveAttempts) + j.doneAndLive
+}
+
+// taskOffMachines notes that no attempt of a task is left. Unless it is done it is pending.
+func (j *Job) taskOffMachines(i int) {
+	if j.IsDone(i) {
+		j.doneAndLive--
+		return
+	}
+	j.pending.retries = append(j.pending.retries, i)
+}
 
 // HasTasksToPlace reports whether tasks of the job are to be placed.
 func (j *Job) HasTasksToPlace() bool { return j.stored && !j.Cancelled && j.Pending() > 0 }
@@ -107,14 +118,24 @@
 // Running returns the number of tasks that run.
 func (j *Job) Running() int {
 	n := 0
-	for _, a := range j.LiveAttempts {
-		if a.Stage == Running || a.Stage == Checkpointing {
+	for task := range j.LiveAttempts {
+		if j.taskRuns(task) {
 			n++
 		}
 	}
 	return n
 }
 
+// taskRuns reports whether an attempt of a task runs.
+func (j *Job) taskRuns(task int) bool {
+	for a := range j.LiveAttempts.Of(task) {
+		if a.Stage == Running || a.Stage == Checkpointing {
+			return true
+		}
+	}
+	return false
+}
+
 // MeanRuntime returns the mean run time of the tasks seen, 0 if none was.
 func (j *Job) MeanRuntime() units.Micros {
 	if j.observedRuns == 0 {
@@ -159,6 +180,9 @@
 		return false
 	}
 	j.done.add(i)
+	if j.LiveAttempts[i] != nil {
+		j.doneAndLive++
+	}
 	j.records.pageOf(i).dirty = true
 	return true
 }
--- a/internal/controller/cancel.go
+++ b/internal/controller/cancel.go
@@ -73,7 +73,7 @@
 	job.Cancelled = true
 	l.Log.Info("job cancelled", "job", job.Spec.ID, "live", len(job.LiveAttempts))
 	now := l.Clock.Steady()
-	for _, attempt := range job.LiveAttempts {
+	for attempt := range job.LiveAttempts.All() {
 		if attempt.Stage == cluster.Sent || attempt.Stage == cluster.Fetching {
 			l.pusher.RequestPush(attempt.Machine, nil, now) // else it may still start
 		}
--- a/internal/controller/incident_ran_twice_test.go
+++ b/internal/controller/incident_ran_twice_test.go
@@ -77,7 +77,7 @@
 	t.Cleanup(in.broadcasts.Close)
 	in.lead(2)
 	spec := *fake.JobSpec(testJob)
-	spec.Tasks = 1
+	spec.Tasks, spec.Estimate = 1, noticePeriod/2
 	now := in.leader.Clock.Steady()
 	in.leader.state.NewJob(spec, now, now)
 	in.leader.commitNext(t.Context())
--- a/internal/reconciler/commands.go
+++ b/internal/reconciler/commands.go
@@ -51,6 +51,9 @@
 				job.MarkChanged(now, true)
 				rc.WriteSignal.Raise()
 			}
+		case attempt.HasRival():
+			// A machine showed an earlier attempt after this one was assigned. The start
+			// waits until that one is known to be gone.
 		case m.FencingToken == rc.Token && job.MachineIsDurable(m.ID) && len(commands) < protocol.MaxCommands:
 			attempt.Stage, attempt.SentSequence = cluster.Sent, sequence
 			commands = append(commands, protocol.Command{Verb: protocol.VerbStart, Task: attempt.TaskName(), Attempt: attempt.Number})
--- a/internal/reconciler/tasks.go
+++ b/internal/reconciler/tasks.go
@@ -55,10 +55,13 @@
 	if job == nil || task.Cause != protocol.CauseDone || task.Index >= job.Spec.Tasks || job.IsDone(task.Index) {
 		return
 	}
-	rc.State.TaskDone(job, task.Index, now)
-	if other := job.LiveAttempts[task.Index]; other != nil {
-		rc.State.StopAttempt(other, 0)
-	}
+	rc.taskCompleted(job, task.Index, now)
+}
+
+// taskCompleted notes that a task has completed, and stops the attempts of it that are left.
+func (rc *Reconciler) taskCompleted(job *cluster.Job, task int, now units.Micros) {
+	rc.State.TaskDone(job, task, now)
+	rc.State.StopUnwanted(job, task)
 }
 
 func (rc *Reconciler) attemptCompleted(attempt *cluster.Attempt, now units.Micros) {
@@ -69,7 +72,7 @@
 	}
 	rc.State.Completions.Freed(job.Spec.Request.CPU)
 	rc.State.Outcomes.AttemptCompleted(attempt, now)
-	rc.State.TaskDone(job, attempt.Index, now)
+	rc.taskCompleted(job, attempt.Index, now)
 	if job.Complete() {
 		rc.WriteSignal.Raise()
 	}
@@ -105,11 +108,11 @@
 	}
 }
 
-// adopt adds an attempt that a former leader started to the state. It returns nil if its task
-// is not wanted there.
+// adopt adds an attempt that a former leader started to the state. It returns nil if there is
+// no such job or task, or if the task is done.
 func (rc *Reconciler) adopt(m *cluster.Machine, task *protocol.TaskStatus, now units.Micros) *cluster.Attempt {
 	job := rc.State.Jobs[task.Job]
-	if job == nil || task.Index >= job.Spec.Tasks || job.IsDone(task.Index) || job.LiveAttempts[task.Index] != nil {
+	if job == nil || task.Index >= job.Spec.Tasks || job.IsDone(task.Index) {
 		return nil
 	}
 	attempt := rc.State.Adopt(job, task.Index, task.Attempt, m, now)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -131,7 +131,7 @@
 	view.LiveByZone, view.LiveByMachine = nil, nil
 	if job.Spec.ZoneAffinity || job.Spec.ZoneSpread || job.IsService() {
 		view.LiveByZone = map[string]int{}
-		for _, attempt := range job.LiveAttempts {
+		for attempt := range job.LiveAttempts.All() {
 			view.LiveByZone[attempt.Machine.Zone]++
 		}
 	}
