--- a/internal/controller/incident_ran_twice_test.go
+++ b/internal/controller/incident_ran_twice_test.go
@@ -1,15 +1,8 @@
 package controller
 
 import (
-	"context"
-	"errors"
-	"net/http"
-	"net/http/httptest"
-	"sync"
 	"testing"
-	"time"
 
-	"dunestand/internal/fake"
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
@@ -27,179 +20,98 @@
 // machine's own heartbeat, without the task, removed the only attempt known, and what is on
 // no machine known is placed.
 //
-// Cause: stale knowledge stood in the place of proof. What tells it from a late answer or a
-// missing name in the job's record: the record names the second machine, and no message but
-// these three is handled.
-
-// incident is a fleet of two machines with one task, and the leader of the moment.
-type incident struct {
-	t          *testing.T
-	store      *fake.KVServer
-	leader     *Leader
-	first      *modelWorker // where the task was preempted
-	second     *modelWorker // where it runs since
-	task       taskKey
-	oldCopy    *protocol.Heartbeat // of the first machine: the task runs there
-	broadcasts *httptest.Server    // the second machine's endpoint for direct commands
-}
-
-// TestCopyOfPreemptedAttemptDoesNotStartItsTaskTwice handles the three messages in the order
-// of the incident.
+// Cause: stale knowledge stood in the place of proof. What tells it from a start that came
+// late or a name missing in the job's record: here the record names the second machine, no
+// answer is lost or late, and the three messages alone break the rule, in this order.
 func TestCopyOfPreemptedAttemptDoesNotStartItsTaskTwice(t *testing.T) {
-	in := newIncident(t)
-	in.preemptOnFirstAndStartOnSecond()
-	in.failOver()
+	f := newFailoverFleet(t, 2)
+	first, second := f.workers[0], f.workers[1]
+	oldCopy := preemptOnFirstAndStartOnSecond(f)
+
+	f.leader.lease().Lost = true
+	f.lead(3)
+	if !f.leader.state.Unreconciled.Contains(second.id) {
+		t.Fatal("the job's record does not name the machine that runs its task")
+	}
 
-	in.deliverCopy()
-	in.broadcastToSecond()
+	f.serve(oldCopy) // nobody waits for the answer
+	// The second machine had no capacity for more work; here its notice keeps that away.
+	f.broadcastTo(second, second.heartbeatWithNotice)
 	for range 4 {
-		in.exchange(in.first)
+		f.exchange(first)
 	}
 	for range 2 {
-		in.exchange(in.second)
-		in.exchange(in.first)
+		f.exchange(second)
+		f.exchange(first)
 	}
-	if !in.second.holds(in.task) {
+	if !second.holds(taskKey{testJob, 0}) {
 		t.Error("the task does not run on the second machine any more")
 	}
 }
 
-// newIncident returns the fleet under its first leader, with a job of one task.
-func newIncident(t *testing.T) *incident {
-	in := &incident{
-		t:      t,
-		store:  fake.NewKVServer(),
-		first:  newIncidentWorker("i-000001"),
-		second: newIncidentWorker("i-000002"),
-		task:   taskKey{testJob, 0},
-	}
-	in.broadcasts = httptest.NewServer(http.HandlerFunc(in.answerBroadcast))
-	t.Cleanup(in.broadcasts.Close)
-	in.lead(2)
-	spec := *fake.JobSpec(testJob)
-	spec.Tasks, spec.Estimate = 1, noticePeriod/2
-	now := in.leader.Clock.Steady()
-	in.leader.state.NewJob(spec, now, now)
-	in.leader.commitNext(t.Context())
-	return in
-}
-
-func newIncidentWorker(id string) *modelWorker {
-	return &modelWorker{id: id, alive: true, incarnation: 1, tasks: map[taskKey]modelTask{}}
-}
-
-// lead makes a new leader that has restored the records.
-func (in *incident) lead(token uint64) {
-	in.leader = newStoredLeader(in.t, token, in.store)
-	if !in.leader.persister.Restore(in.t.Context()) {
-		in.t.Fatal("the records are not restored")
-	}
-	in.leader.state.SetInstanceTypes(modelCatalog.Types)
-}
-
 // preemptorRuns is how long nothing of the job starts after its task was preempted.
 const preemptorRuns = 30 * units.Second
 
-// preemptOnFirstAndStartOnSecond has the task start on the first machine, of which a heartbeat
-// is copied, end there by a stop, and start on the second machine.
-func (in *incident) preemptOnFirstAndStartOnSecond() {
-	in.exchangeUntil(in.first, func() bool { return in.first.holds(in.task) })
-	in.oldCopy = in.first.nextHeartbeat()
-	in.exchange(in.first)
-	machine := in.leader.state.Machines[in.first.id]
-	in.leader.state.StopAttempt(machine.SortedAttempts()[0], 0)
-	in.leader.state.Jobs[testJob].RetryAt = in.leader.Clock.Steady() + preemptorRuns
-	in.exchangeUntil(in.first, func() bool { return len(in.first.tasks) == 0 })
-	in.leader.Clock.(*fake.Clock).Now += preemptorRuns
-	in.exchangeUntil(in.second, func() bool { return in.second.holds(in.task) })
-	in.exchange(in.second)
-	in.leader.commitNext(in.t.Context())
-	if in.second.holds(in.task) == in.first.holds(in.task) {
-		in.t.Fatal("the task is not just on the second machine")
-	}
-}
-
-// failOver ends the leader; the next one restores the records, which name the second machine.
-func (in *incident) failOver() {
-	in.leader.lease().Lost = true
-	in.lead(3)
-	if !in.leader.state.Unreconciled.Contains(in.second.id) {
-		in.t.Fatal("the job's record does not name the machine that runs its task")
-	}
+// preemptOnFirstAndStartOnSecond has the only task of testJob start on the first worker, end
+// there by a stop, and start on the second. It returns a copy of a heartbeat from between.
+func preemptOnFirstAndStartOnSecond(f *failoverFleet) *protocol.Heartbeat {
+	f.t.Helper()
+	first, second, task := f.workers[0], f.workers[1], taskKey{testJob, 0}
+	f.submit(testJob, 1, 1)
+	f.exchangeUntil(first, func() bool { return first.holds(task) })
+	oldCopy := first.nextHeartbeat()
+	f.exchange(first)
+	state := f.leader.state
+	state.StopAttempt(state.Machines[first.id].SortedAttempts()[0], 0)
+	state.Jobs[testJob].RetryAt = f.leader.Clock.Steady() + preemptorRuns
+	f.exchangeUntil(first, func() bool { return len(first.tasks) == 0 })
+	f.passTime(preemptorRuns)
+	f.exchangeUntil(second, func() bool { return second.holds(task) })
+	f.exchange(second)
+	return oldCopy
 }
 
-// deliverCopy brings the leader the copy of the first machine's heartbeat. Nobody waits for
-// the answer.
-func (in *incident) deliverCopy() {
-	if _, err := in.leader.Heartbeat(in.t.Context(), in.oldCopy, nil); err != nil {
-		in.t.Fatal(err)
+// An attempt whose task was done elsewhere takes its capacity and its team's quota until it
+// has ended, also under a leader that knows the task as done: a team at its limit would
+// otherwise run more than it may, as long as the stop has not reached the machine.
+func TestAttemptOfDoneTaskCountsUntilItHasEnded(t *testing.T) {
+	f := newFailoverFleet(t, 3)
+	busy, idle := f.workers[0], f.workers[1:]
+	f.submit(testJob, 2, 2)
+	f.exchangeUntil(busy, func() bool { return len(busy.tasks) == 2 })
+	f.exchange(busy)
+	// A late heartbeat of a machine that is gone shows an earlier attempt's completion. The
+	// busy machine's answer, which stops its own attempt, is lost with the leader.
+	late := testHeartbeat(machineID(9), 1, 1, 0)
+	late.Tasks = []protocol.TaskStatus{{
+		Job:     testJob,
+		Attempt: 1,
+		Stage:   protocol.TaskExited,
+		Cause:   protocol.CauseDone,
+	}}
+	f.serve(late)
+	f.serve(busy.nextHeartbeat())
+
+	f.lead(3)
+	if !f.leader.state.Jobs[testJob].IsDone(0) {
+		t.Fatal("the completion is not restored")
 	}
-}
-
-// broadcastToSecond has the leader broadcast its token until the second machine has answered.
-func (in *incident) broadcastToSecond() {
-	state := in.leader.state
-	state.EnsureMachine(in.second.id, "m", "a", true, in.leader.Clock.Steady()).Endpoint = in.broadcasts.Listener.Addr().String()
-	ctx, cancel := context.WithCancel(in.t.Context())
-	var broadcast sync.WaitGroup
-	broadcast.Go(func() { in.leader.broadcaster.Run(ctx) })
-	reconciled := func() bool {
-		state.Lock()
-		defer state.Unlock()
-		return !state.Unreconciled.Contains(in.second.id)
-	}
-	answered := eventually(10*time.Second, reconciled)
-	cancel()
-	broadcast.Wait()
-	if !answered {
-		in.t.Fatal("the second machine has not answered the broadcast")
-	}
-}
-
-// noticePeriod is when the second machine ends. It had no capacity left for other work in the
-// incident; here it takes none because of the notice, and its task ends before.
-const noticePeriod = 600 * units.Second
-
-// heartbeatWithNotice returns a heartbeat that shows a termination notice.
-func (w *modelWorker) heartbeatWithNotice() *protocol.Heartbeat {
-	heartbeat := w.nextHeartbeat()
-	heartbeat.TerminationNoticed, heartbeat.TerminationIn = true, noticePeriod
-	return heartbeat
-}
-
-// answerBroadcast is the second machine's endpoint: it shows what it holds.
-func (in *incident) answerBroadcast(w http.ResponseWriter, _ *http.Request) {
-	in.second.token = in.leader.token
-	_, _ = w.Write(encodeReachable(in.second.heartbeatWithNotice()))
-}
-
-// exchange has a machine send a heartbeat and carry out the answer. The rule is checked on the
-// machines themselves.
-func (in *incident) exchange(worker *modelWorker) {
-	in.t.Helper()
-	in.leader.Clock.(*fake.Clock).Now += units.Second
-	response, err := in.leader.Heartbeat(in.t.Context(), worker.nextHeartbeat(), nil)
-	if err != nil && !errors.Is(err, errStaleHeartbeat) {
-		in.t.Fatal(err)
+	f.broadcastTo(busy, busy.heartbeatWithNotice) // it gets no other work
+	f.submit("j-000002", 4, 2)
+	for range 4 {
+		for _, worker := range idle {
+			f.exchange(worker)
+		}
 	}
-	in.leader.commitNext(in.t.Context()) // starts that wait for it go with the next answer
-	worker.token = response.FencingToken
-	for _, command := range response.Commands {
-		worker.carryOut(command)
+	if len(busy.tasks) != 2 || len(idle[0].tasks)+len(idle[1].tasks) == 0 {
+		t.Errorf("the busy machine runs %d tasks, the others %d and %d", len(busy.tasks), len(idle[0].tasks), len(idle[1].tasks))
 	}
-	if in.first.holds(in.task) && in.second.holds(in.task) {
-		in.t.Fatalf("two machines hold %s", protocol.TaskName(in.task.job, in.task.index))
+	f.exchange(busy) // the stop
+	for range 2 {
+		f.exchange(busy)
+		f.exchange(idle[0])
 	}
-}
-
-// exchangeUntil repeats exchange until a condition holds.
-func (in *incident) exchangeUntil(worker *modelWorker, condition func() bool) {
-	in.t.Helper()
-	for range 10 {
-		if condition() {
-			return
-		}
-		in.exchange(worker)
+	if machine := f.leader.state.Machines[busy.id]; len(machine.Attempts) > 2 || busy.holds(taskKey{testJob, 0}) {
+		t.Errorf("the attempt of the done task is still there: %v", busy.tasks)
 	}
-	in.t.Fatalf("not after ten heartbeats of %s: %v", worker.id, worker.tasks)
 }
