--- a/internal/reconciler/tasks.go
+++ b/internal/reconciler/tasks.go
@@ -52,7 +52,7 @@
 // If it completed its task, another attempt of the task is stopped.
 func (rc *Reconciler) unknownTaskExited(task *protocol.TaskStatus, now units.Micros) {
 	job := rc.State.Jobs[task.Job]
-	if job == nil || task.Cause != protocol.CauseDone || task.Index >= job.Spec.Tasks || job.IsDone(task.Index) {
+	if job == nil || task.Cause != protocol.CauseDone || task.Index >= job.Spec.Tasks {
 		return
 	}
 	rc.taskCompleted(job, task.Index, now)
@@ -108,11 +108,12 @@
 	}
 }
 
-// adopt adds an attempt that a former leader started to the state. It returns nil if there is
-// no such job or task, or if the task is done.
+// adopt adds an attempt that a former leader started to the state, wanted or not: it takes
+// capacity and quota until it is known to be gone. It returns nil if there is no such job or
+// task, as it is not known then what it takes.
 func (rc *Reconciler) adopt(m *cluster.Machine, task *protocol.TaskStatus, now units.Micros) *cluster.Attempt {
 	job := rc.State.Jobs[task.Job]
-	if job == nil || task.Index >= job.Spec.Tasks || job.IsDone(task.Index) {
+	if job == nil || task.Index >= job.Spec.Tasks {
 		return nil
 	}
 	attempt := rc.State.Adopt(job, task.Index, task.Attempt, m, now)
