--- a/internal/controller/model_end_test.go
+++ b/internal/controller/model_end_test.go
@@ -58,8 +58,8 @@
 		m.advanceWrite()
 	}
 	m.leader.detector.ExpireWorkerLeases(m.clock.Now)
+	m.expireLeases()
 	for i, worker := range m.workers {
-		m.expireLeaseOf(worker)
 		if machine := m.leader.state.Machines[worker.id]; machine != nil && (machine.Quarantined || machine.UndeliveredCommands >= cluster.MaxUndeliveredCommands) {
 			m.releaseWorker(i)
 			continue
--- a/internal/controller/model_fault_test.go
+++ b/internal/controller/model_fault_test.go
@@ -5,6 +5,7 @@
 
 	"pgregory.net/rapid"
 
+	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
 
@@ -25,6 +26,89 @@
 	m.serve(heartbeat)
 }
 
+// copiesComeFor is for how long after a heartbeat a copy of it may come.
+const copiesComeFor = 60 * units.Second
+
+// sentHeartbeat is a heartbeat that a worker has sent, whether or not it has arrived.
+type sentHeartbeat struct {
+	heartbeat *protocol.Heartbeat
+	at        units.Micros
+}
+
+// keepForCopies keeps a heartbeat that is sent now.
+func (m *model) keepForCopies(heartbeat *protocol.Heartbeat) {
+	m.sentHeartbeats = slices.DeleteFunc(m.sentHeartbeats, func(s sentHeartbeat) bool {
+		return m.clock.Now-s.at > copiesComeFor
+	})
+	m.sentHeartbeats = append(m.sentHeartbeats, sentHeartbeat{heartbeat, m.clock.Now})
+}
+
+// deliverCopy brings the leader a copy of any heartbeat of the last minute, also of a machine
+// that is gone. Nobody waits for the answer.
+func (m *model) deliverCopy() {
+	if len(m.sentHeartbeats) > 0 {
+		m.serve(rapid.SampledFrom(m.sentHeartbeats).Draw(m.t, "copied heartbeat").heartbeat)
+	}
+}
+
+// failOverAmongCopies has a new leader hear copies, answers to its broadcast and heartbeats in
+// any order, while answers to the workers are lost or come late.
+func (m *model) failOverAmongCopies() {
+	m.failOver()
+	m.playAmongCopies()
+}
+
+// moveTasksPastFailover preempts what runs on a worker, so that it starts elsewhere. The next
+// leader hears first how it was before, and of some other workers only what they answer to its
+// broadcast.
+func (m *model) moveTasksPastFailover() {
+	worker := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	machine := m.leader.state.Machines[worker.id]
+	if !m.isUndisturbed(worker) || machine == nil || len(worker.tasks) == 0 {
+		return
+	}
+	before := worker.nextHeartbeat()
+	for _, attempt := range machine.SortedAttempts() {
+		m.leader.state.StopAttempt(attempt, 0)
+	}
+	machine.BlockedUntil = m.clock.Now + modelLease // else it all starts there again
+	m.runWithout(nil, units.Micros(rapid.IntRange(2, 6).Draw(m.t, "seconds"))*units.Second)
+	m.failOver()
+	m.serve(before)
+	var mute []*modelWorker
+	for _, other := range m.workers {
+		if other != worker && m.isUndisturbed(other) && rapid.Bool().Draw(m.t, "mute") {
+			m.broadcastTo(other)
+			other.heartbeatsLost = true
+			mute = append(mute, other)
+		}
+	}
+	m.runWithout(nil, units.Micros(rapid.IntRange(1, 5).Draw(m.t, "seconds"))*units.Second)
+	for _, other := range mute {
+		other.heartbeatsLost = false
+	}
+}
+
+// playAmongCopies brings the leader messages of all kinds in any order.
+func (m *model) playAmongCopies() {
+	messages := []func(){m.deliverCopy, m.deliverCopy, m.broadcastToken, m.broadcastToken, m.heartbeat, m.deliver}
+	for range rapid.IntRange(2, 16).Draw(m.t, "messages") {
+		rapid.SampledFrom(messages).Draw(m.t, "message")()
+		m.advanceWrite()
+		m.checkInvariants()
+	}
+}
+
+// preempt stops a task on any worker, as work of a higher priority does.
+func (m *model) preempt() {
+	worker := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	machine := m.leader.state.Machines[worker.id]
+	if machine == nil || len(machine.Attempts) == 0 {
+		return
+	}
+	m.leader.state.StopAttempt(rapid.SampledFrom(machine.SortedAttempts()).Draw(m.t, "victim"), 0)
+}
+
 // loseAnswers cuts a worker off from answers, or ends that.
 func (m *model) loseAnswers() {
 	worker := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
@@ -122,8 +206,8 @@
 		m.advanceWrite()
 		m.advanceWrite()
 		m.leader.detector.ExpireWorkerLeases(m.clock.Now)
+		m.expireLeases()
 		for _, worker := range m.workers {
-			m.expireLeaseOf(worker)
 			if worker == isolated || !worker.alive || worker.heartbeatsLost || m.isHanging(worker) {
 				continue
 			}
--- a/internal/controller/model_leader_test.go
+++ b/internal/controller/model_leader_test.go
@@ -164,9 +164,7 @@
 // passTime lets some time pass in which only leases expire.
 func (m *model) passTime() {
 	m.clock.Now += units.Micros(rapid.IntRange(100, 6000).Draw(m.t, "ms")) * units.Millisecond
-	for _, worker := range m.workers {
-		m.expireLeaseOf(worker)
-	}
+	m.expireLeases()
 	m.leader.detector.ExpireWorkerLeases(m.clock.Now)
 }
 
--- a/internal/controller/model_test.go
+++ b/internal/controller/model_test.go
@@ -50,6 +50,7 @@
 
 	workers           []*modelWorker
 	delayedHeartbeats []*protocol.Heartbeat // held back by the network; their workers have given up
+	sentHeartbeats    []sentHeartbeat       // of the last minute, of which copies may come
 	broadcastAnswers  []broadcastAnswer
 
 	specs          []protocol.JobSpec // of each job submitted
@@ -102,7 +103,9 @@
 		m.raiseFormat, m.raiseFormat, m.lowerLimits, m.loseHeartbeats, m.loseHeartbeats, m.hangWorker,
 		m.hangWorker, m.cancelAtEnd, m.cancelAtEnd, m.resendTransaction, m.isolateWorker,
 		m.isolateWorker, m.isolateWorker, m.isolateWorker, m.delayAnswerPastFailover,
-		m.delayAnswerPastFailover, m.delayAnswerPastFailover,
+		m.delayAnswerPastFailover, m.delayAnswerPastFailover, m.preempt, m.preempt,
+		m.failOverAmongCopies, m.deliverCopy,
+		m.moveTasksPastFailover, m.moveTasksPastFailover, m.moveTasksPastFailover,
 	}
 }
 
--- a/internal/controller/model_worker_test.go
+++ b/internal/controller/model_worker_test.go
@@ -95,6 +95,7 @@
 // sendHeartbeat has a worker send a heartbeat, which the network may copy or hold back.
 func (m *model) sendHeartbeat(worker *modelWorker) {
 	heartbeat := worker.nextHeartbeat()
+	m.keepForCopies(heartbeat)
 	worker.answerAwaited, worker.sentAt, worker.heartbeatIncarnation, worker.answer = true, m.clock.Now, worker.incarnation, nil
 	if !m.faultsEnded && rapid.IntRange(0, 5).Draw(m.t, "heartbeat copied") == 0 {
 		m.delayedHeartbeats = append(m.delayedHeartbeats, heartbeat) // the copy comes at any later time
@@ -229,6 +230,14 @@
 	}
 }
 
+// expireLeases expires the leases of all workers that are over now, so that what is checked at
+// this time is what workers hold at it.
+func (m *model) expireLeases() {
+	for _, worker := range m.workers {
+		m.expireLeaseOf(worker)
+	}
+}
+
 // releaseAnyWorker has the leader scale in any machine.
 func (m *model) releaseAnyWorker() {
 	m.releaseWorker(rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "released"))
@@ -255,12 +264,16 @@
 	heartbeat *protocol.Heartbeat
 }
 
-// broadcastToken has a worker learn the leader's token; its answer may come late.
+// broadcastToken has any worker learn the leader's token.
 func (m *model) broadcastToken() {
 	worker := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
-	if !worker.alive || worker.answersLost || m.isHanging(worker) {
-		return
+	if worker.alive && !worker.answersLost && !m.isHanging(worker) {
+		m.broadcastTo(worker)
 	}
+}
+
+// broadcastTo has a worker learn the leader's token; its answer may come late.
+func (m *model) broadcastTo(worker *modelWorker) {
 	worker.token = m.leader.token
 	m.leader.state.EnsureMachine(worker.id, "m", "a", true, m.clock.Now)
 	m.broadcastAnswers = append(m.broadcastAnswers, broadcastAnswer{m.leader, worker.nextHeartbeat()})
--- a/internal/fake/machinefault.go
+++ b/internal/fake/machinefault.go
@@ -29,6 +29,13 @@
 	m.hungUntil = time.Now().Add(d)
 }
 
+// LeaseLeft returns how long the worker's lease still holds if no heartbeat is answered.
+func (m *Machine) LeaseLeft() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Timing.LeaseDuration - time.Since(m.leaseStart)
+}
+
 func (m *Machine) hung() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/node/deployment_nodes_test.go
+++ b/node/deployment_nodes_test.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"dunestand/internal/config"
@@ -96,11 +96,8 @@
 func (d *deployment) leader() int {
 	d.t.Helper()
 	for range 200 {
-		for i := range d.nodes {
-			r := d.request(i, http.MethodGet, metricsPath, nil)
-			if r.status == http.StatusOK && bytes.Contains(r.body, []byte("dunestand_term")) {
-				return i
-			}
+		if i, ok := d.leaderNow(); ok {
+			return i
 		}
 		d.sleep(100 * time.Millisecond)
 	}
@@ -108,6 +105,27 @@
 	return 0
 }
 
+// leaderNow returns the controller that leads, by its metrics, and whether any does.
+func (d *deployment) leaderNow() (node int, ok bool) {
+	node, _, ok = d.leaderTerm()
+	return node, ok
+}
+
+// leaderTerm is leaderNow with the leader's fencing token as its metrics show it.
+func (d *deployment) leaderTerm() (node int, token string, ok bool) {
+	for i := range d.nodes {
+		r := d.request(i, http.MethodGet, metricsPath, nil)
+		if r.status != http.StatusOK {
+			continue
+		}
+		if _, rest, leads := strings.Cut(string(r.body), "dunestand_term "); leads {
+			token, _, _ = strings.Cut(rest, "\n")
+			return i, token, true
+		}
+	}
+	return 0, "", false
+}
+
 // leaderOr returns the leader, or another controller while the store is down and none may
 // lead.
 func (d *deployment) leaderOr(other int) int {
--- a/node/deployment_test.go
+++ b/node/deployment_test.go
@@ -58,6 +58,8 @@
 	defaultHeartbeatInterval = time.Second
 	defaultMemoryMB          = 100.0
 	defaultCancelTimeout     = 11 * time.Second // little more than workerLease
+	defaultMaxConnections    = 400
+	defaultKVRPS             = 500.0
 )
 
 const (
@@ -74,6 +76,8 @@
 	cancelTimeout     time.Duration
 	heartbeatInterval time.Duration
 	memoryMB          float64 // of a controller
+	maxConnections    int     // of a controller
+	kvRPS             float64 // requests a second that the store serves
 	nodes             int     // controllers
 	seed              uint64
 	policy            func(node int) *config.Policy // nil: the built-in one everywhere
@@ -126,6 +130,8 @@
 	o.heartbeatInterval = cmp.Or(o.heartbeatInterval, defaultHeartbeatInterval)
 	o.memoryMB = cmp.Or(o.memoryMB, defaultMemoryMB)
 	o.nodes = cmp.Or(o.nodes, defaultNodes)
+	o.maxConnections = cmp.Or(o.maxConnections, defaultMaxConnections)
+	o.kvRPS = cmp.Or(o.kvRPS, defaultKVRPS)
 	return o
 }
 
@@ -176,9 +182,9 @@
 			LeaseS:     workerLease.Seconds(),
 			CancelS:    o.cancelTimeout.Seconds(),
 		},
-		State:     config.KVLimits{RPS: 500, WriteRPS: 400, ValueKB: 8, TxnOps: 12},
+		State:     config.KVLimits{RPS: o.kvRPS, WriteRPS: 0.8 * o.kvRPS, ValueKB: 8, TxnOps: 12},
 		Cloud:     config.CloudLimits{RPS: 50, ListLagS: 1},
-		Resources: config.Resources{CoreShare: 1, RAMMB: o.memoryMB, MaxConnections: 400},
+		Resources: config.Resources{CoreShare: 1, RAMMB: o.memoryMB, MaxConnections: o.maxConnections},
 	}
 }
 
