Log and count what a leader knew, from which heartbeat, and why it sent a command

Cause: the records of the incident did not tell what the third leader had learned of the task from which message, when each machine was reconciled, nor on what grounds the start was sent.

Change: at info the lease's version and time left, the restore's revision and unreconciled jobs, incarnation, sequence and token of a machine's first heartbeat, tasks that two machines claim (one line a heartbeat), the first heartbeat with a later leader's token, and leases of the time before the election that expired; at debug each machine reconciled, job free to place, ignored heartbeat, start, stop and answer with its grounds. Counts of each in /metrics. Nothing is formatted for a line that is dropped, and no line is written once a heartbeat.

--- a/internal/answer/evidence.go
+++ b/internal/answer/evidence.go
@@ -38,6 +38,19 @@
 // WithoutEvidence returns an answer that says nothing of a job's state.
 func WithoutEvidence(r transport.Response) Answer { return Answer{Response: r} }
 
+// Grounds says what the evidence claims and rests on, for logs: "none", "provisional" with the
+// steady time of the read, or "terminal" with the version of the record.
+func (e Evidence) Grounds() (kind string, readAt units.Micros, version uint64) {
+	switch e.kind {
+	case provisional:
+		return "provisional", e.readAt, 0
+	case terminal:
+		return "terminal", 0, e.version
+	default:
+		return "none", 0, 0
+	}
+}
+
 // Unavailable returns an answer that refuses a request for now.
 func Unavailable(why string) Answer {
 	return WithoutEvidence(ErrorResponse(http.StatusServiceUnavailable, why))
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -210,6 +210,10 @@
 	return j.stored && j.records.isDurable(machine)
 }
 
+// RecordVersion returns the version at which the job's own record was last stored or read, 0 if
+// it never was.
+func (j *Job) RecordVersion() uint64 { return j.records.main.version }
+
 // terminalRecord returns the record of a job in a terminal state: complete, or cancelled
 // and with nothing left on any machine. It is nil for any other job.
 func (j *Job) terminalRecord(writeID string) *storage.TerminalRecord {
--- a/internal/cluster/unreconciled.go
+++ b/internal/cluster/unreconciled.go
@@ -50,17 +50,23 @@
 	}
 }
 
-// Resolve notes that a machine is reconciled: all that it holds is known.
-func (u *UnreconciledIndex) Resolve(machine string) {
+// Resolve notes that a machine is reconciled: all that it holds is known. It returns the jobs
+// that have no unreconciled machine any more by that.
+func (u *UnreconciledIndex) Resolve(machine string) (freed []*Job) {
 	for _, j := range u.jobsOf[machine] {
 		delete(j.UnreconciledMachines, machine)
 		if len(j.UnreconciledMachines) == 0 {
 			delete(u.jobs, j)
+			freed = append(freed, j)
 		}
 	}
 	delete(u.jobsOf, machine)
+	return freed
 }
 
+// JobCount returns the number of jobs that may have tasks on unreconciled machines.
+func (u *UnreconciledIndex) JobCount() int { return len(u.jobs) }
+
 // Contains reports whether a job may have tasks on the machine that no heartbeat has shown.
 func (u *UnreconciledIndex) Contains(machine string) bool { return len(u.jobsOf[machine]) > 0 }
 
--- a/internal/controller/components.go
+++ b/internal/controller/components.go
@@ -62,6 +62,7 @@
 		Detector:    l.detector,
 		Log:         l.Log,
 		Tracer:      tracer,
+		Metrics:     l.Metrics.Reconciliation,
 		Token:       l.token,
 		WriteSignal: l.writeSignal,
 		CycleSignal: l.cycleSignal,
--- a/internal/controller/harness_failover_test.go
+++ b/internal/controller/harness_failover_test.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -22,6 +24,7 @@
 	leader  *Leader
 	workers []*modelWorker
 	cpus    map[string]int // that a task requests, by job
+	log     bytes.Buffer   // of all leaders, at level info
 }
 
 // newFailoverFleet returns workers under a first leader, which has no jobs.
@@ -42,7 +45,9 @@
 // lead makes a new leader that has restored the records; the former one has ended.
 func (f *failoverFleet) lead(token uint64) {
 	f.t.Helper()
-	f.leader = newStoredLeader(f.t, token, f.store)
+	f.leader = newStoredLeader(f.t, token, f.store, func(d *Deps) {
+		d.Log = slog.New(slog.NewTextHandler(&f.log, nil))
+	})
 	if !f.leader.persister.Restore(f.t.Context()) {
 		f.t.Fatal("the records are not restored")
 	}
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -46,6 +46,16 @@
 	return false
 }
 
+// laterTokenSeen counts a heartbeat that shows a later leader's fencing token, and logs the
+// first. It needs the lock of state held.
+func (l *Leader) laterTokenSeen(heartbeat *protocol.Heartbeat) {
+	l.Metrics.Reconciliation.LaterTokens.Inc()
+	if !l.laterTokenLogged {
+		l.laterTokenLogged = true
+		l.Log.Info("heartbeat shows a later leader's token", "machine", heartbeat.Machine, "shows_token", heartbeat.FencingToken)
+	}
+}
+
 // Why a heartbeat is not accepted. The worker is told to come back in each case.
 var (
 	errNotRestored    = errors.New("the records are not restored yet")
@@ -68,7 +78,11 @@
 	l.state.Lock()
 	defer l.state.Unlock()
 	now := l.Clock.Steady()
-	if !l.leadership.Valid() || heartbeat.FencingToken > l.token {
+	if heartbeat.FencingToken > l.token {
+		l.laterTokenSeen(heartbeat)
+		return response, errNotLeader
+	}
+	if !l.leadership.Valid() {
 		return response, errNotLeader
 	}
 	machine := l.reconciler.Reconcile(heartbeat, now)
--- a/internal/controller/incident_ran_twice_test.go
+++ b/internal/controller/incident_ran_twice_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"strings"
 	"testing"
 
 	"dunestand/internal/protocol"
@@ -71,6 +72,46 @@
 	return oldCopy
 }
 
+// What a leader knew of the two attempts, and from which messages, stands in its log at info,
+// in one line for the heartbeat that shows the second one, and the metrics count it. Further
+// heartbeats add no lines.
+func TestLogNamesBothMachinesThatClaimATask(t *testing.T) {
+	f := newFailoverFleet(t, 2)
+	first, second := f.workers[0], f.workers[1]
+	oldCopy := preemptOnFirstAndStartOnSecond(f)
+	f.lead(3)
+	f.serve(oldCopy)
+	f.broadcastTo(second, second.nextHeartbeat)
+	f.serve(oldCopy) // once more: it is older than one handled now
+
+	const claim = `msg="task claimed by two machines" token=3 task=j-000001/0 tasks=1 attempt=8589934594 machine=i-000001 ` +
+		`incarnation=1 sequence=5 shows_token=3 other_attempt=8589934593 other_machine=i-000000 other_incarnation=1 ` +
+		`other_sequence=4 other_shows_token=2`
+	if got := strings.Count(f.log.String(), claim); got != 1 {
+		t.Errorf("%d lines of the claim, want 1:\n%s", got, f.log.String())
+	}
+	counted := string(f.leader.Metrics.Text())
+	for _, want := range []string{
+		"dunestand_attempts_rival_total 1\n",
+		"dunestand_attempts_adopted_total 2\n",
+		"dunestand_heartbeats_stale_total 1\n",
+		"dunestand_heartbeats_other_token_total 1\n",
+	} {
+		if !strings.Contains(counted, want) {
+			t.Errorf("not counted: %s", want)
+		}
+	}
+	f.exchange(first)
+	lines := strings.Count(f.log.String(), "\n")
+	for range 3 {
+		f.exchange(first)
+		f.exchange(second)
+	}
+	if got := strings.Count(f.log.String(), "\n"); got > lines {
+		t.Errorf("%d lines more for six heartbeats:\n%s", got-lines, f.log.String())
+	}
+}
+
 // An attempt whose task was done elsewhere takes its capacity and its team's quota until it
 // has ended, also under a leader that knows the task as done: a team at its limit would
 // otherwise run more than it may, as long as the stop has not reached the machine.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -68,6 +68,7 @@
 
 	lastSummary      units.Micros // steady time; guarded by the lock of state
 	lastTimeoutCheck units.Micros // likewise
+	laterTokenLogged bool         // likewise
 
 	writeSignal loop.Signal // raised when something waits to be written
 	cycleSignal loop.Signal // raised when a scheduling cycle is due
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 
 	"dunestand/internal/answer"
@@ -24,13 +25,13 @@
 		if request.TooLarge {
 			return answer.ErrorResponse(http.StatusBadRequest, bodyTooLarge)
 		}
-		return c.gate().Check(c.submit(ctx, request.Body, fromUser))
+		return c.checkedAnswer("submission", c.submit(ctx, request.Body, fromUser))
 	})
 	c.server.Handle(http.MethodGet, protocol.PathPoll, func(ctx context.Context, request transport.Request) transport.Response {
-		return c.gate().Check(c.poll(ctx, request.ID, fromUser))
+		return c.checkedAnswer(request.ID, c.poll(ctx, request.ID, fromUser))
 	})
 	c.server.Handle(http.MethodPost, protocol.PathCancel, func(ctx context.Context, request transport.Request) transport.Response {
-		return c.gate().Check(c.cancel(ctx, request.ID, fromUser))
+		return c.checkedAnswer(request.ID, c.cancel(ctx, request.ID, fromUser))
 	})
 	c.server.Handle(http.MethodGet, protocol.PathHealth, func(context.Context, transport.Request) transport.Response {
 		return c.health()
@@ -41,6 +42,29 @@
 	})
 }
 
+// checkedAnswer returns the response of an answer that the gate allows, and counts and logs on
+// what grounds it was given.
+func (c *Controller) checkedAnswer(about string, a answer.Answer) transport.Response {
+	response := c.gate().Check(a)
+	kind, readAt, version := a.Evidence.Grounds()
+	counters := c.deps.Metrics.Answers
+	switch {
+	case response.Status != a.Status:
+		counters.Held.Inc()
+	case kind == "terminal":
+		counters.Terminal.Inc()
+	case kind == "provisional":
+		counters.Provisional.Inc()
+	default:
+		counters.Other.Inc()
+	}
+	if c.deps.Log.Enabled(context.Background(), slog.LevelDebug) {
+		c.deps.Log.Debug("answer checked", "about", about, "status", response.Status, "computed_status", a.Status,
+			"grounds", kind, "read_at_us", int64(readAt), "record_version", version)
+	}
+	return response
+}
+
 // metricsText returns this controller's metrics, those of the leader included while it leads.
 func (c *Controller) metricsText() []byte {
 	if leader := c.activeLeader(); leader != nil {
--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -101,7 +101,8 @@
 	e.leading, e.steppingDown = true, false
 	e.token, e.recordVersion, e.handedOverAt = record.Incarnation, newVersion, record.HandedOverAt
 	e.validUntil = sentAt + e.timing.Duration
-	e.log.Info("leader lease acquired", "token", e.token, "from", old.Holder)
+	e.log.Info("leader lease acquired", "token", e.token, "from", old.Holder,
+		"version", newVersion, "valid_ms", (e.validUntil-e.clock.Steady())/units.Millisecond)
 	return e.timing.RenewEvery
 }
 
--- a/internal/failuredetector/leases.go
+++ b/internal/failuredetector/leases.go
@@ -33,9 +33,13 @@
 		// accepted a response of this one since: and these have told what they hold,
 		// as a response is accepted only to the newest heartbeat. A machine that receives
 		// no response would otherwise stay unreconciled for as long as it sends heartbeats.
-		for _, id := range d.State.Unreconciled.Machines() {
+		machines, jobs := d.State.Unreconciled.Machines(), d.State.Unreconciled.JobCount()
+		for _, id := range machines {
 			d.State.Unreconciled.Resolve(id)
 		}
+		if len(machines) > 0 {
+			d.Log.Info("worker leases from before the election expired", "machines", len(machines), "jobs_freed", jobs)
+		}
 	}
 	if d.State.Unreconciled.Len() == 0 {
 		d.allReconciled = true
--- a/internal/persister/restore.go
+++ b/internal/persister/restore.go
@@ -32,7 +32,7 @@
 		p.Leadership.Abstain(UnreadableAbstention)
 		return false
 	}
-	jobs, orphans, err := p.readJobs(ctx)
+	jobs, orphans, revision, err := p.readJobs(ctx)
 	if errors.Is(err, errJobsUnreadable) {
 		// A leader without such a job would forget it. Another controller may be of a version
 		// that reads it; if none is, nobody leads until an operator has looked.
@@ -56,30 +56,34 @@
 		p.State.AddStaleRecords(id, orphans[id])
 	}
 	p.InstallRecords(jobs, catalog)
+	p.Log.Info("records restored", "jobs", len(jobs), "revision", revision,
+		"unreconciled_machines", p.State.Unreconciled.Len(), "unreconciled_jobs", p.State.Unreconciled.JobCount(),
+		"took_ms", (p.Clock.Steady()-p.ElectedAt)/units.Millisecond)
 	return true
 }
 
-// readJobs reads all live jobs, and the keys of records that are left over of finished jobs, by
-// job. It fails with errJobsUnreadable if a job would be forgotten.
-func (p *Persister) readJobs(ctx context.Context) (jobs []*cluster.Job, orphans map[string][]string, err error) {
-	rows, _, err := p.KV.ListAll(ctx, storage.PrefixJobs)
+// readJobs reads all live jobs, the keys of records that are left over of finished jobs, by job,
+// and the revision of the store at which it began. It fails with errJobsUnreadable if a job
+// would be forgotten.
+func (p *Persister) readJobs(ctx context.Context) (jobs []*cluster.Job, orphans map[string][]string, revision uint64, err error) {
+	rows, revision, err := p.KV.ListAll(ctx, storage.PrefixJobs)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, 0, err
 	}
 	jobs, orphans, err = cluster.ParseJobs(rows)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errJobsUnreadable, err)
+		return nil, nil, 0, fmt.Errorf("%w: %w", errJobsUnreadable, err)
 	}
 	for _, id := range sorted.Keys(orphans) {
 		_, finished, err := p.Terminals.read(ctx, id)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, 0, err
 		}
 		if !finished {
-			return nil, nil, fmt.Errorf("%w: %w", errJobsUnreadable, &storage.RecordError{Key: orphans[id][0], Err: errNoSuchJob})
+			return nil, nil, 0, fmt.Errorf("%w: %w", errJobsUnreadable, &storage.RecordError{Key: orphans[id][0], Err: errNoSuchJob})
 		}
 	}
-	return jobs, orphans, nil
+	return jobs, orphans, revision, nil
 }
 
 // readStoredCatalog reads the catalog that a former leader stored, and the versions of its
@@ -108,7 +112,5 @@
 	}
 	p.State.Restored = true
 	close(p.restored)
-	p.Log.Info("records restored", "jobs", len(jobs), "unreconciled_machines", p.State.Unreconciled.Len(),
-		"took_ms", (now-p.ElectedAt)/units.Millisecond)
 	p.CycleSignal.Raise()
 }
--- a/internal/reconciler/commands.go
+++ b/internal/reconciler/commands.go
@@ -34,6 +34,9 @@
 			command.Task, command.Attempt = protocol.TaskName(task.Job, task.Index), task.Attempt
 			commands = append(commands, command)
 			recordSentCommand(m, commands, key)
+			if command.Verb == protocol.VerbStop {
+				rc.logStop(m.Attempts[key], task, m)
+			}
 		}
 	}
 	return rc.appendStarts(commands, m, heartbeat.Sequence, now)
@@ -54,11 +57,12 @@
 		case attempt.HasRival():
 			// A machine showed an earlier attempt after this one was assigned. The start
 			// waits until that one is known to be gone.
+			rc.Metrics.StartsHeld.Inc()
 		case m.FencingToken == rc.Token && job.MachineIsDurable(m.ID) && len(commands) < protocol.MaxCommands:
 			attempt.Stage, attempt.SentSequence = cluster.Sent, sequence
 			commands = append(commands, protocol.Command{Verb: protocol.VerbStart, Task: attempt.TaskName(), Attempt: attempt.Number})
 			recordSentCommand(m, commands, cluster.AttemptKey{Job: job.Spec.ID, Index: attempt.Index, Number: attempt.Number})
-			rc.Tracer.Trace("start sent", attempt)
+			rc.logStart(attempt)
 		}
 	}
 	return commands
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -12,6 +12,7 @@
 	"dunestand/internal/failuredetector"
 	"dunestand/internal/loop"
 	"dunestand/internal/protocol"
+	"dunestand/internal/telemetry"
 	"dunestand/internal/units"
 )
 
@@ -21,6 +22,7 @@
 	Detector *failuredetector.Detector
 	Log      *slog.Logger
 	Tracer   cluster.AttemptTracer
+	Metrics  *telemetry.Reconciliation
 	// Token is the leader's fencing token. Only a heartbeat that shows it reconciles a
 	// machine, and only a machine that has shown it is sent starts.
 	Token       uint64
@@ -46,12 +48,17 @@
 // those of machines that were released, have no effect; it returns nil for them.
 func (rc *Reconciler) Reconcile(heartbeat *protocol.Heartbeat, now units.Micros) *cluster.Machine {
 	if rc.State.Released.Has(heartbeat.Machine) {
+		rc.heartbeatIgnored(heartbeat, nil)
 		return nil
 	}
 	m := rc.State.EnsureMachine(heartbeat.Machine, heartbeat.InstanceType, heartbeat.Zone, heartbeat.Spot, now)
 	if m.Registered && !isNewer(heartbeat, m) {
+		rc.heartbeatIgnored(heartbeat, m)
 		return nil
 	}
+	if heartbeat.FencingToken != rc.Token {
+		rc.Metrics.OtherTokens.Inc()
+	}
 	rc.checkDelivery(m, heartbeat, now)
 	rc.reconcileMachine(m, heartbeat, now)
 	rc.reconcileTasks(m, heartbeat, now)
@@ -59,7 +66,7 @@
 	// received. Any other may be a copy that comes late, of a machine that is
 	// gone by now, and a response of a former leader may still be on its way.
 	if m.FencingToken != heartbeat.FencingToken && heartbeat.FencingToken == rc.Token {
-		rc.State.Unreconciled.Resolve(m.ID)
+		rc.machineReconciled(m, rc.State.Unreconciled.Resolve(m.ID), now)
 		rc.CycleSignal.Raise()
 	}
 	m.FencingToken, m.MayHoldCancelled = heartbeat.FencingToken, false
@@ -80,7 +87,8 @@
 		rc.State.MachineEmptied(m, now)
 	}
 	if !m.Registered {
-		rc.Log.Info("machine registered", "machine", m.ID, "type", m.InstanceType, "zone", m.Zone, "spot", m.Spot, "tasks", len(heartbeat.Tasks))
+		rc.Log.Info("machine registered", "machine", m.ID, "type", m.InstanceType, "zone", m.Zone, "spot", m.Spot, "tasks", len(heartbeat.Tasks),
+			"incarnation", heartbeat.Incarnation, "sequence", heartbeat.Sequence, "shows_token", heartbeat.FencingToken)
 	}
 	m.Registered = true
 	m.Incarnation, m.Sequence = heartbeat.Incarnation, heartbeat.Sequence
@@ -100,14 +108,16 @@
 // reconcileTasks applies what a heartbeat says of the machine's tasks, and drops the attempts
 // that it proves not to be there.
 func (rc *Reconciler) reconcileTasks(m *cluster.Machine, heartbeat *protocol.Heartbeat, now units.Micros) {
+	var found rivals
 	for i := range heartbeat.Tasks {
 		task := &heartbeat.Tasks[i]
 		if task.Stage == protocol.TaskExited {
 			rc.taskExited(m, task, now)
-		} else {
-			rc.taskLive(m, task, now)
+		} else if adopted := rc.taskLive(m, task, now); adopted != nil && adopted.HasRival() {
+			found.add(adopted)
 		}
 	}
+	rc.logRivals(found, heartbeat)
 	rc.dropMissingAttempts(m, heartbeat, now)
 }
 
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -11,6 +11,7 @@
 	"dunestand/internal/loop"
 	"dunestand/internal/protocol"
 	"dunestand/internal/storage"
+	"dunestand/internal/telemetry"
 	"dunestand/internal/units"
 )
 
@@ -31,6 +32,7 @@
 		State:       state,
 		Detector:    failuredetector.New(failuredetector.Deps{State: state, Settings: settings, Log: log}),
 		Log:         log,
+		Metrics:     telemetry.NewMetrics().Reconciliation,
 		Token:       testToken,
 		WriteSignal: loop.NewSignal(),
 		CycleSignal: loop.NewSignal(),
--- a/internal/reconciler/tasks.go
+++ b/internal/reconciler/tasks.go
@@ -89,13 +89,15 @@
 	}
 }
 
-// taskLive applies the status of a task that has not ended.
-func (rc *Reconciler) taskLive(m *cluster.Machine, task *protocol.TaskStatus, now units.Micros) {
+// taskLive applies the status of a task that has not ended. It returns the attempt if this
+// adopted it, else nil.
+func (rc *Reconciler) taskLive(m *cluster.Machine, task *protocol.TaskStatus, now units.Micros) (adopted *cluster.Attempt) {
 	attempt := m.Attempts[attemptKey(task)]
 	if attempt == nil {
-		if attempt = rc.adopt(m, task, now); attempt == nil {
-			return // Commands stops it
+		if adopted = rc.adopt(m, task, now); adopted == nil {
+			return nil // Commands stops it
 		}
+		attempt = adopted
 	}
 	attempt.SeenSequence = m.Sequence
 	switch task.Stage {
@@ -106,6 +108,7 @@
 	case protocol.TaskCheckpointing:
 		attempt.Stage = cluster.Checkpointing
 	}
+	return adopted
 }
 
 // adopt adds an attempt that a former leader started to the state, wanted or not: it takes
@@ -117,6 +120,7 @@
 		return nil
 	}
 	attempt := rc.State.Adopt(job, task.Index, task.Attempt, m, now)
+	rc.Metrics.Adopted.Inc()
 	rc.Tracer.Trace("attempt adopted", attempt)
 	return attempt
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,10 @@
 	placementDelay *metrics.Histogram
 	admissionWait  *metrics.Histogram
 	writers        []func(io.Writer)
+	// Reconciliation counts what is made of heartbeats.
+	Reconciliation *Reconciliation
+	// Answers counts the answers to users.
+	Answers *Answers
 }
 
 // NewMetrics returns the metrics of one controller, with the histograms of all controllers.
@@ -27,6 +31,8 @@
 		set:            set,
 		placementDelay: set.NewHistogram("dunestand_placement_delay_seconds"),
 		admissionWait:  set.NewHistogram("dunestand_admission_wait_seconds"),
+		Reconciliation: newReconciliation(set),
+		Answers:        newAnswers(set),
 	}
 }
 
