--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -72,7 +72,7 @@
 		s.ended.Store(true)
 		d.network.SetDelay(nil)
 		t.Logf("seed %d: %d faults, %d jobs, %d starts, %d cancellations confirmed", seed, s.faults,
-			len(s.tasks), d.invariants.Starts(), d.invariants.ConfirmedCancellations())
+			s.jobs, d.invariants.Starts(), d.invariants.ConfirmedCancellations())
 	})
 }
 
@@ -89,7 +89,8 @@
 	*deployment
 	random   *rand.Rand
 	capacity int            // processors of the team
-	tasks    map[string]int // of each job submitted
+	tasks    map[string]int // of each job that is not over
+	jobs     int            // submitted
 	faults   int
 	ended    atomic.Bool // the faults are over
 
@@ -133,17 +134,21 @@
 	job.Priority = priority
 	job.ZoneSpread = s.random.IntN(8) == 0
 	s.tasks[job.ID] = job.Tasks
+	s.jobs++
 	s.invariants.JobSubmitted(job)
 	s.background.Go(func() { s.submit(job) })
 }
 
-// openTasks returns how many tasks belong to jobs whose users have not been told of an end.
+// openTasks returns how many tasks belong to jobs whose users have not been told of an end, and
+// drops the other jobs.
 func (s *soakDay) openTasks() int {
 	open := 0
 	for id, tasks := range s.tasks {
-		if !s.invariants.LastStage(id).IsTerminal() {
-			open += tasks
+		if s.invariants.LastStage(id).IsTerminal() {
+			delete(s.tasks, id)
+			continue
 		}
+		open += tasks
 	}
 	return open
 }
