--- /dev/null
+++ b/internal/reconciler/rivals_test.go
@@ -0,0 +1,91 @@
+package reconciler
+
+import (
+	"testing"
+
+	"dunestand/internal/cluster"
+	"dunestand/internal/protocol"
+)
+
+// heartbeatOf returns a heartbeat of another machine that shows attempts of task 0.
+func heartbeatOf(machine string, sequence uint64, attempts ...uint64) *protocol.Heartbeat {
+	h := heartbeat(1, sequence)
+	h.Machine = machine
+	for _, number := range attempts {
+		h.Tasks = append(h.Tasks, protocol.TaskStatus{Job: "j-000001", Attempt: number, Stage: protocol.TaskRunning})
+	}
+	return h
+}
+
+// Two machines show attempts of a task, in either order: the later attempt goes on, and the
+// other is stopped with each answer until it is gone, also where an answer was lost.
+func TestEarlierOfTwoAttemptsIsStoppedUntilItIsGone(t *testing.T) {
+	for _, order := range [][]uint64{{1, 2}, {2, 1}} {
+		rc, job := newTestReconciler(t)
+		machines := map[uint64]string{1: "i-000011", 2: "i-000012"}
+		for _, number := range order {
+			rc.Reconcile(heartbeatOf(machines[number], 1, number), testNow)
+		}
+		for sequence := uint64(2); sequence < 4; sequence++ {
+			later := heartbeatOf(machines[2], sequence, 2)
+			if commands := rc.Commands(rc.Reconcile(later, testNow), later, testNow); len(commands) != 0 {
+				t.Errorf("order %v: the later attempt gets %v", order, commands)
+			}
+			earlier := heartbeatOf(machines[1], sequence, 1)
+			commands := rc.Commands(rc.Reconcile(earlier, testNow), earlier, testNow)
+			if len(commands) != 1 || commands[0].Verb != protocol.VerbStop || commands[0].Attempt != 1 {
+				t.Errorf("order %v: the earlier attempt gets %v", order, commands)
+			}
+		}
+		rc.Reconcile(heartbeatOf(machines[1], 4), testNow)
+		if live := job.LiveAttempts[0]; live == nil || live.Number != 2 || live.HasRival() || job.Pending() != 1 {
+			t.Errorf("order %v: left %v, %d tasks pending", order, live, job.Pending())
+		}
+	}
+}
+
+// A machine stopped an attempt and started the task again while only a copy of its heartbeat
+// was known. Its own heartbeat shows the new attempt, which goes on.
+func TestLaterAttemptOnTheSameMachineReplacesTheEarlier(t *testing.T) {
+	rc, job := newTestReconciler(t)
+	rc.Reconcile(heartbeatOf(testMachine, 1, 1), testNow)
+	own := heartbeatOf(testMachine, 9, 2)
+	if commands := rc.Commands(rc.Reconcile(own, testNow), own, testNow); len(commands) != 0 {
+		t.Errorf("commands %v", commands)
+	}
+	if live := job.LiveAttempts[0]; live == nil || live.Number != 2 || live.HasRival() {
+		t.Errorf("left %v", live)
+	}
+}
+
+// A machine shows an attempt of a task that was just assigned to another one. The start waits
+// until that attempt is gone.
+func TestStartWaitsForAnotherAttemptToBeGone(t *testing.T) {
+	rc, job := newTestReconciler(t)
+	m := rc.Reconcile(heartbeat(1, 1), testNow)
+	attempt := rc.State.Assign(job, m, rc.State.NextAttempt(testToken), testNow)
+	rc.Reconcile(heartbeatOf("i-000012", 1, 1), testNow)
+	commit(rc.State)
+	if commands := rc.Commands(m, heartbeat(1, 1), testNow); len(commands) != 0 {
+		t.Fatalf("sent while another attempt runs: %v", commands)
+	}
+	rc.Reconcile(heartbeatOf("i-000012", 2), testNow)
+	commands := rc.Commands(m, heartbeat(1, 1), testNow)
+	if len(commands) != 1 || commands[0].Attempt != attempt.Number || attempt.Stage != cluster.Sent {
+		t.Errorf("commands %v once it is gone", commands)
+	}
+}
+
+// A late word that a replica has ended, of an attempt that is not known any more, says nothing
+// of the replica that runs.
+func TestLateEndOfReplicaDoesNotStopTheOneThatRuns(t *testing.T) {
+	rc, job := newTestReconciler(t)
+	job.Spec.Kind = protocol.Service
+	rc.Reconcile(heartbeatOf("i-000012", 1, 2), testNow)
+	late := heartbeatOf("i-000011", 1, 1)
+	late.Tasks[0].Stage, late.Tasks[0].Cause = protocol.TaskExited, protocol.CauseDone
+	rc.Reconcile(late, testNow)
+	if live := job.LiveAttempts[0]; live == nil || live.Stopping {
+		t.Errorf("the replica that runs: %+v", live)
+	}
+}
