--- a/internal/controller/model_fault_test.go
+++ b/internal/controller/model_fault_test.go
@@ -62,9 +62,16 @@
 // leader hears first how it was before, and of some other workers only what they answer to its
 // broadcast.
 func (m *model) moveTasksPastFailover() {
-	worker := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	busy := slices.DeleteFunc(slices.Clone(m.workers), func(w *modelWorker) bool { return len(w.tasks) == 0 })
+	if len(busy) == 0 {
+		return
+	}
+	worker := rapid.SampledFrom(busy).Draw(m.t, "busy worker")
+	if worker.answerAwaited {
+		m.deliverTo(worker)
+	}
 	machine := m.leader.state.Machines[worker.id]
-	if !m.isUndisturbed(worker) || machine == nil || len(worker.tasks) == 0 {
+	if !m.isUndisturbed(worker) || machine == nil {
 		return
 	}
 	before := worker.nextHeartbeat()
@@ -77,7 +84,7 @@
 	m.serve(before)
 	var mute []*modelWorker
 	for _, other := range m.workers {
-		if other != worker && m.isUndisturbed(other) && rapid.Bool().Draw(m.t, "mute") {
+		if other != worker && other.alive && !other.answersLost && !m.isHanging(other) && rapid.Bool().Draw(m.t, "mute") {
 			m.broadcastTo(other)
 			other.heartbeatsLost = true
 			mute = append(mute, other)
