Log values of evidence and reasons of a stop are types

Cause: the grounds of an answer were told apart by strings.

Change: Evidence logs itself, and the reasons of a stop are named; no behaviour.

Measured: go test of answer, reconciler and controller passes.

--- a/internal/answer/evidence.go
+++ b/internal/answer/evidence.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"log/slog"
 	"net/http"
 
 	"dunestand/internal/cluster"
@@ -38,16 +39,22 @@
 // WithoutEvidence returns an answer that says nothing of a job's state.
 func WithoutEvidence(r transport.Response) Answer { return Answer{Response: r} }
 
-// Grounds says what the evidence claims and rests on, for logs: "none", "provisional" with the
-// steady time of the read, or "terminal" with the version of the record.
-func (e Evidence) Grounds() (kind string, readAt units.Micros, version uint64) {
+// IsProvisional reports whether the answer claims a state that may change.
+func (e Evidence) IsProvisional() bool { return e.kind == provisional }
+
+// IsTerminal reports whether the answer claims a terminal state.
+func (e Evidence) IsTerminal() bool { return e.kind == terminal }
+
+// LogValue implements slog.LogValuer: what the answer claims, and the steady time of the read or
+// the version of the record that it rests on.
+func (e Evidence) LogValue() slog.Value {
 	switch e.kind {
 	case provisional:
-		return "provisional", e.readAt, 0
+		return slog.GroupValue(slog.String("kind", "provisional"), slog.Int64("read_at_us", int64(e.readAt)))
 	case terminal:
-		return "terminal", 0, e.version
+		return slog.GroupValue(slog.String("kind", "terminal"), slog.Uint64("record_version", e.version))
 	default:
-		return "none", 0, 0
+		return slog.GroupValue(slog.String("kind", "none"))
 	}
 }
 
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -46,21 +46,20 @@
 // what grounds it was given.
 func (c *Controller) checkedAnswer(about string, a answer.Answer) transport.Response {
 	response := c.gate().Check(a)
-	kind, readAt, version := a.Evidence.Grounds()
 	counters := c.deps.Metrics.Answers
 	switch {
 	case response.Status != a.Status:
 		counters.Held.Inc()
-	case kind == "terminal":
+	case a.Evidence.IsTerminal():
 		counters.Terminal.Inc()
-	case kind == "provisional":
+	case a.Evidence.IsProvisional():
 		counters.Provisional.Inc()
 	default:
 		counters.Other.Inc()
 	}
 	if c.deps.Log.Enabled(context.Background(), slog.LevelDebug) {
 		c.deps.Log.Debug("answer checked", "about", about, "status", response.Status, "computed_status", a.Status,
-			"grounds", kind, "read_at_us", int64(readAt), "record_version", version)
+			"grounds", a.Evidence)
 	}
 	return response
 }
--- a/internal/reconciler/evidence.go
+++ b/internal/reconciler/evidence.go
@@ -96,21 +96,37 @@
 	rc.Metrics.StopsSent.Inc()
 	if rc.Tracer.Enabled() {
 		rc.Log.Debug("stop sent", "task", protocol.TaskName(task.Job, task.Index), "attempt", task.Attempt,
-			"machine", m.ID, "sequence", m.Sequence, "why", stopReason(attempt))
+			"machine", m.ID, "sequence", m.Sequence, "why", stopReasonOf(attempt))
 	}
 }
 
-// stopReason says why an attempt is stopped. attempt is nil where the state does not have it.
-func stopReason(attempt *cluster.Attempt) string {
+// stopReason says why an attempt is stopped.
+type stopReason string
+
+// The reasons.
+const (
+	stopUnknown   stopReason = "no such job or task"
+	stopCancelled stopReason = "job cancelled"
+	stopDone      stopReason = "task done"
+	stopRival     stopReason = "another attempt of the task is known"
+	stopPreempted stopReason = "preempted or evicted"
+)
+
+// String returns the reason as it is logged.
+func (r stopReason) String() string { return string(r) }
+
+// stopReasonOf returns why an attempt is stopped. attempt is nil where the state does not have
+// it.
+func stopReasonOf(attempt *cluster.Attempt) stopReason {
 	switch {
 	case attempt == nil:
-		return "no such job or task"
+		return stopUnknown
 	case attempt.Job.Cancelled:
-		return "job cancelled"
+		return stopCancelled
 	case attempt.Job.IsDone(attempt.Index):
-		return "task done"
+		return stopDone
 	case attempt.HasRival():
-		return "a later attempt of the task is known"
+		return stopRival
 	}
-	return "preempted or evicted"
+	return stopPreempted
 }
