--- a/node/soak_test.go
+++ b/node/soak_test.go
@@ -43,7 +43,10 @@
 		return
 	}
 	for _, seed := range soakSeeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, seed, soakDefaultMachines, soakDefaultLength) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, soakDefaultMachines, soakDefaultLength)
+		})
 	}
 }
 
