A completion that is known already is passed over again

Nothing was decided otherwise, as attempts of done tasks are stopped when adopted, but each heartbeat that still lists a completion did the work.

Change: the check stands again as before the incident.

Measured: go test of reconciler and cluster passes.

--- a/internal/reconciler/tasks.go
+++ b/internal/reconciler/tasks.go
@@ -52,7 +52,7 @@
 // If it completed its task, another attempt of the task is stopped.
 func (rc *Reconciler) unknownTaskExited(task *protocol.TaskStatus, now units.Micros) {
 	job := rc.State.Jobs[task.Job]
-	if job == nil || task.Cause != protocol.CauseDone || task.Index >= job.Spec.Tasks {
+	if job == nil || task.Cause != protocol.CauseDone || task.Index >= job.Spec.Tasks || job.IsDone(task.Index) {
 		return
 	}
 	rc.taskCompleted(job, task.Index, now)
