--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -45,6 +45,51 @@
 	Offers      []Offer
 	CloudDelay  time.Duration
 	Boot        time.Duration
+	// StateFault, if set, is asked for each request of a controller to the key-value store.
+	StateFault func(controller, method, path string) Fault
+}
+
+// Fault is what happens to a request to the key-value store.
+type Fault int
+
+// The faults: none; status 503; carried out, but the answer is lost; a late answer.
+const (
+	None Fault = iota
+	Refused
+	AnswerLost
+	Slow
+)
+
+// slowAnswer is the delay of a late answer.
+const slowAnswer = 700 * time.Millisecond
+
+// discard is a response that nobody gets.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header            { return d.header }
+func (d discard) Write(body []byte) (int, error) { return len(body), nil }
+func (d discard) WriteHeader(int)                {}
+
+// stateHandler returns the interface of the key-value store for one controller.
+func (c Config) stateHandler(store http.Handler, controller string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(stateLatency)
+		fault := None
+		if c.StateFault != nil {
+			fault = c.StateFault(controller, r.Method, r.URL.Path)
+		}
+		switch fault {
+		case Refused:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case AnswerLost:
+			store.ServeHTTP(discard{http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		case Slow:
+			time.Sleep(slowAnswer)
+		}
+		store.ServeHTTP(w, r)
+	})
 }
 
 func freeAddress() (string, error) {
@@ -86,13 +131,6 @@
 		}
 	}
 	store := fake.NewKVServer()
-	state, err := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(stateLatency)
-		store.ServeHTTP(w, r)
-	}))
-	if err != nil {
-		return c, err
-	}
 	c.Cloud = &Cloud{
 		Types: config.Types, Offers: config.Offers, Latency: config.CloudDelay, Boot: config.Boot, Record: record,
 		Workers: WorkerSettings{
@@ -106,6 +144,10 @@
 		if err != nil {
 			return c, err
 		}
+		state, err := serve(config.stateHandler(store, name))
+		if err != nil {
+			return c, err
+		}
 		var others []any
 		for _, other := range c.Names {
 			if other != name {
@@ -240,23 +282,25 @@
 	return response.StatusCode, state
 }
 
+// Kill kills a controller.
+func (c *Cluster) Kill(name string) {
+	c.Record.Printf("controller %s is killed", name)
+	_ = c.running[name].Process.Kill()
+	_ = c.running[name].Wait()
+}
+
+// Cancel asks a controller to cancel a job. Status 0 means no response.
+func (c *Cluster) Cancel(name, id string) (status int, state protocol.JobState) {
+	status, state = c.call(name, http.MethodPost, protocol.PathSubmit+"/"+id+"/cancel", nil)
+	c.Record.Printf("user: cancels %s at %s: %d %s", id, name, status, state.Stage)
+	return status, state
+}
+
 // Submit uploads and submits a job, and retries at the next controller until it is accepted or 60 s
 // have passed. It reports whether the job was accepted.
 func (c *Cluster) Submit(id string, job Job, fields map[string]any) bool {
 	c.Jobs.Put(id, job)
-	kind := "sweep"
-	if job.Service {
-		kind = "service"
-	}
-	submission := map[string]any{
-		"uid": id, "queue": "rushorder", "crew": "planning", "shape": kind, "urgency": "normal", "bolts": job.Tasks,
-		"vcpus": job.CPUs, "cards": 0.0, "memory_gb": 2.0, "pattern": "img-" + id, "image_gb": 0.1, "looms": nil, "yard": nil,
-		"together": false, "apart": false, "borrowed": true, "expect_s": job.Run.Seconds(), "mark_s": 0.0, "stow_s": 0.0, "due_s": nil,
-	}
-	for field, value := range fields {
-		submission[field] = value
-	}
-	body := protocol.Encode(submission)
+	body := submission(id, job, fields)
 	for try, end := 0, time.Now().Add(time.Minute); time.Now().Before(end); try++ {
 		name := c.Names[try%len(c.Names)]
 		status, state := c.call(name, http.MethodPost, protocol.PathSubmit, body)
@@ -290,3 +334,27 @@
 	}
 	return false
 }
+
+// submission returns the body of a submission; fields replace the usual ones.
+func submission(id string, job Job, fields map[string]any) []byte {
+	kind := "sweep"
+	if job.Service {
+		kind = "service"
+	}
+	fieldsOf := map[string]any{
+		"uid": id, "queue": "rushorder", "crew": "planning", "shape": kind, "urgency": "normal", "bolts": job.Tasks,
+		"vcpus": job.CPUs, "cards": 0.0, "memory_gb": 2.0, "pattern": "img-" + id, "image_gb": 0.1, "looms": nil, "yard": nil,
+		"together": false, "apart": false, "borrowed": true, "expect_s": job.Run.Seconds(), "mark_s": 0.0, "stow_s": 0.0, "due_s": nil,
+	}
+	for field, value := range fields {
+		fieldsOf[field] = value
+	}
+	return protocol.Encode(fieldsOf)
+}
+
+// SubmitOnce sends a submission to one controller. Status 0 means no response.
+func (c *Cluster) SubmitOnce(name, id string, job Job, fields map[string]any) (status int, state protocol.JobState) {
+	status, state = c.call(name, http.MethodPost, protocol.PathSubmit, submission(id, job, fields))
+	c.Record.Printf("user: submits %s to %s again: %d %s", id, name, status, state.Stage)
+	return status, state
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -63,6 +63,8 @@
 	Lease       time.Duration
 	Jobs        *Jobs
 	Record      *Record
+	// Watch, if set, is told of each task that is on its machine from now on, or not any more.
+	Watch func(machine, name string, attempt uint64, on bool)
 	// OnToken is called with each higher token that a worker sees.
 	OnToken func(machine string, token uint64)
 }
@@ -89,7 +91,9 @@
 	mu         sync.Mutex
 	gone       bool
 	sick       bool
-	slow       float64   // factor of run times; 0: none
+	slow       float64 // factor of run times; 0: none
+	deaf, mute bool
+	hungUntil  time.Time
 	notice     time.Time // when the machine is taken; zero: no notice
 	session    uint64
 	sequence   uint64
@@ -131,6 +135,7 @@
 		if t := w.tasks[name]; t.stage == protocol.TaskRunning {
 			lost = append(lost, name)
 			w.Record.Printf("machine %s: task %s attempt %d lost, %s", w.ID, name, t.attempt, why)
+			w.endLocked(name, t)
 		}
 	}
 	w.gone = true
@@ -153,6 +158,46 @@
 	w.sick = sick
 }
 
+// SetDeaf makes the machine lose all answers and direct commands, SetMute all its reports.
+func (w *Worker) SetDeaf(deaf bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = deaf
+}
+
+// SetMute makes the machine lose all its reports.
+func (w *Worker) SetMute(mute bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute = mute
+}
+
+// Hang stops the machine for a time.
+func (w *Worker) Hang(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hungUntil = time.Now().Add(d)
+}
+
+func (w *Worker) waitWhileHung() {
+	for {
+		w.mu.Lock()
+		hung := time.Now().Before(w.hungUntil)
+		w.mu.Unlock()
+		if !hung {
+			return
+		}
+		time.Sleep(tick)
+	}
+}
+
+// endLocked tells the watcher that a task left its machine, if it was there.
+func (w *Worker) endLocked(name string, t *task) {
+	if w.Watch != nil && t.stage == protocol.TaskRunning {
+		w.Watch(w.ID, name, t.attempt, false)
+	}
+}
+
 // SetSlow makes tasks that begin from now on run longer by a factor; 0 ends that.
 func (w *Worker) SetSlow(factor float64) {
 	w.mu.Lock()
@@ -214,6 +259,7 @@
 func (w *Worker) advanceLoop() {
 	for {
 		time.Sleep(tick)
+		w.waitWhileHung()
 		w.mu.Lock()
 		if w.gone {
 			w.mu.Unlock()
@@ -224,6 +270,9 @@
 			if len(w.tasks) > 0 {
 				w.Record.Printf("machine %s: lease of session %d expired, %d tasks killed", w.ID, w.session, len(w.tasks))
 			}
+			for name, t := range w.tasks {
+				w.endLocked(name, t)
+			}
 			clear(w.tasks)
 			w.session++
 			w.sequence, w.leaseFrom, w.changed = 0, now, true
@@ -240,6 +289,9 @@
 				w.Record.Printf("machine %s: task %s attempt %d failed (the machine is sick)", w.ID, name, t.attempt)
 			case t.stage == protocol.TaskFetching:
 				t.stage = protocol.TaskRunning
+				if w.Watch != nil {
+					w.Watch(w.ID, name, t.attempt, true)
+				}
 				if t.job.Run > 0 {
 					t.next = now.Add(t.job.Run)
 					if w.slow > 0 {
@@ -248,6 +300,7 @@
 				}
 				w.Record.Printf("machine %s: task %s attempt %d runs", w.ID, name, t.attempt)
 			case t.stage == protocol.TaskRunning:
+				w.endLocked(name, t)
 				t.stage, t.cause = protocol.TaskExited, protocol.CauseDone
 				w.Record.Printf("machine %s: task %s attempt %d done", w.ID, name, t.attempt)
 			}
@@ -283,6 +336,7 @@
 	names := slices.Sorted(maps.Keys(w.Controllers))
 	current := rand.IntN(len(names))
 	for {
+		w.waitWhileHung()
 		w.mu.Lock()
 		if w.gone {
 			w.mu.Unlock()
@@ -290,8 +344,17 @@
 		}
 		body, session, sent := w.reportLocked(), w.session, time.Now()
 		w.changed = false
+		mute, deaf := w.mute, w.deaf
 		w.mu.Unlock()
-		status, answer := w.post(w.Controllers[names[current]], body)
+		status, answer := 0, []byte(nil)
+		if !mute {
+			status, answer = w.post(w.Controllers[names[current]], body)
+		}
+		w.waitWhileHung()
+		if deaf || time.Since(sent) > reportTimeout {
+			status = 0
+			time.Sleep(reportTimeout - time.Since(sent))
+		}
 		switch status {
 		case http.StatusOK:
 			w.accept(answer, session, sent)
@@ -378,6 +441,7 @@
 			w.startLocked(c, t)
 		case c.Verb == protocol.VerbStop && own && t.stage != protocol.TaskExited:
 			w.Record.Printf("machine %s: task %s attempt %d stopped by command", w.ID, c.Task, c.Attempt)
+			w.endLocked(c.Task, t)
 			t.stage, t.cause, t.next, w.changed = protocol.TaskExited, protocol.CauseStopped, time.Time{}, true
 		case c.Verb == protocol.VerbForget && own && t.stage == protocol.TaskExited:
 			delete(w.tasks, c.Task)
@@ -409,8 +473,9 @@
 // serve answers direct commands and requests for the status.
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
 	raw, _ := io.ReadAll(r.Body)
+	w.waitWhileHung()
 	w.mu.Lock()
-	if w.gone {
+	if w.gone || w.deaf {
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
