Machines are rented for tasks without room on any single machine

What users saw: a service with two replicas in different zones lost the only machine of one zone.

Hypotheses: the scheduler leaves room unused; the cloud refuses; the autoscaler counts on room that the scheduler will not use; the machine that is gone still counts as capacity. The new metric dunestand_tasks_without_room, in a trial without the order, tells them apart: the replica is pending and without room from the moment the lease has expired until the end of the run, also after the machine that is gone was removed, and no request is sent. So the third is the cause. The fourth adds to the delay while a small fleet cannot tell a lost machine from a partition.

Cause: PlanScaleOut compared all unfinished tasks with the capacity of each offering as one pool. It knew no zone spread, no affinity, no single machine and no silence.

Change: the scheduler checks with its own rules (feasible, tasksWithinZone, headroom, quota limit) which waiting tasks have room on existing and booting machines. After 5 s, 1 s for a service, the plan orders machines for the others, unless those ordered in the same plan suffice. An idle machine that a waiting task is going to use is kept, so that it is not returned and rented in turn. Since ordered machines count as room, one task orders once.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -7,6 +7,7 @@
 
 	"dunestand/internal/cluster"
 	"dunestand/internal/config"
+	"dunestand/internal/failuredetector"
 	"dunestand/internal/fake"
 	"dunestand/internal/protocol"
 	"dunestand/internal/scheduler"
@@ -23,16 +24,20 @@
 	state := cluster.NewState(settings.Fleet.Teams, settings.Fleet.KVLimits)
 	state.SetInstanceTypes(fake.Catalog().Types)
 	policy := config.DefaultPolicy()
+	detector := failuredetector.New(failuredetector.Deps{State: state, Settings: settings, Clock: clock, Log: log, ElectedAt: clock.Now})
 	as := New(Deps{
 		State:      state,
 		Leadership: &fake.Leadership{FencingToken: 7},
-		Scheduler:  scheduler.New(scheduler.Deps{State: state, Settings: settings, Policy: policy, Clock: clock, Log: log, Token: 7}),
-		Settings:   settings,
-		Policy:     policy,
-		Clock:      clock,
-		Log:        log,
-		Token:      7,
-		ElectedAt:  clock.Now,
+		Detector:   detector,
+		Scheduler: scheduler.New(scheduler.Deps{
+			State: state, Detector: detector, Settings: settings, Policy: policy, Clock: clock, Log: log, Token: 7,
+		}),
+		Settings:  settings,
+		Policy:    policy,
+		Clock:     clock,
+		Log:       log,
+		Token:     7,
+		ElectedAt: clock.Now,
 	})
 	spec := *fake.JobSpec("j-000001")
 	spec.Tasks = tasks
--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -1,6 +1,7 @@
 package autoscaler
 
 import (
+	"dunestand/internal/cluster"
 	"dunestand/internal/config"
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
@@ -80,11 +81,16 @@
 	}
 	now := as.Clock.Steady()
 	for _, m := range as.State.Machines {
-		bootGrace := bootGraceFactor*as.bootTime(m) + bootGraceMargin
-		if m.Releasing || m.Quarantined || m.TerminatesAt > 0 || !m.Registered && now-m.LaunchedAt > bootGrace {
-			continue
+		if as.countsAsCapacity(m, now) {
+			view.Machines[offeringOf(m)]++
 		}
-		view.Machines[offeringOf(m)]++
 	}
 	return view
 }
+
+// countsAsCapacity reports whether a machine is or soon will be available for work: it is not about
+// to go, and it has registered or may still be booting.
+func (as *Autoscaler) countsAsCapacity(m *cluster.Machine, now units.Micros) bool {
+	bootGrace := bootGraceFactor*as.bootTime(m) + bootGraceMargin
+	return !m.Releasing && !m.Quarantined && m.TerminatesAt == 0 && (m.Registered || now-m.LaunchedAt <= bootGrace)
+}
--- a/internal/autoscaler/idle.go
+++ b/internal/autoscaler/idle.go
@@ -13,11 +13,14 @@
 const maxIdleCandidates = 50
 
 // IdleMachines returns the machines that have been idle for longer than the policy's idle
-// timeout and without which the fleet still covers the demand and the reserve. The most
-// expensive machines come first.
+// timeout, that no waiting task is going to use, and without which the fleet still covers the
+// demand and the reserve. The most expensive machines come first.
 func (as *Autoscaler) IdleMachines(now units.Micros) []*cluster.Machine {
 	in := as.PolicyInput()
 	candidates := as.idleCandidates(as.Policy.IdleTimeout(in), now)
+	if len(candidates) == 0 {
+		return nil
+	}
 	keepCPU := max(units.AmountOf(in.DemandCPUs), as.Policy.ReserveCPUs(in))
 	fleetCPU := units.AmountOf(in.FleetCPUs)
 	// The remaining machines must be of offerings that the tasks allow, as well as have enough
@@ -25,9 +28,10 @@
 	view := as.capacityView(in)
 	view.ReserveCPUs, view.Unavailable = 0, func(Offering) bool { return false }
 	missing := missingMachineCount(&view)
+	claimed := as.checkRoom(now).Claimed
 	idle := candidates[:0]
 	for _, m := range candidates[:min(len(candidates), maxIdleCandidates)] {
-		if fleetCPU-m.Capacity.CPU < keepCPU {
+		if fleetCPU-m.Capacity.CPU < keepCPU || claimed[m.ID] {
 			continue
 		}
 		offering := offeringOf(m)
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunestand/internal/protocol"
+	"dunestand/internal/scheduler"
 	"dunestand/internal/units"
 )
 
@@ -15,6 +16,8 @@
 	Demand         []TaskDemand
 	ReserveCPUs    units.Amount // minimum CPUs of the fleet, whatever the demand is
 	SpotPreference float64      // weight of a spot instance's price
+	// Unplaceable are waiting tasks, part of Demand, for which the existing machines have no room.
+	Unplaceable []scheduler.UnplaceableTasks
 	// Unavailable reports whether the cloud recently had too few machines of an offering.
 	Unavailable func(Offering) bool
 }
@@ -23,12 +26,15 @@
 type Order struct {
 	Offering Offering
 	Count    int
+	// For holds the IDs of the jobs with unplaceable tasks that Count was raised for.
+	For []string
 }
 
 // PlanScaleOut returns the machines to rent: first those that the demand needs in addition to
 // the existing machines, of the cheapest available offering that the tasks allow, then those
-// that are missing from the reserve. It treats the free capacity of an offering's machines as
-// one pool and ignores fragmentation between machines.
+// that are missing from the reserve. So far it treats the capacity of an offering's machines as
+// one pool, as if all tasks could be moved. Last it orders machines for the tasks that have no room
+// on any single machine and get none on those ordered so far.
 func PlanScaleOut(view *CapacityView) []Order {
 	p := newScaleOutPlan(view)
 	demands := slices.Clone(view.Demand)
@@ -40,6 +46,7 @@
 		}
 	}
 	p.orderReserve()
+	p.orderUnplaceable()
 	return p.result()
 }
 
@@ -49,6 +56,7 @@
 	offerings    []pricedOffering
 	freeCapacity map[Offering]units.Resources // unclaimed capacity of existing and ordered machines
 	orders       map[Offering]int             // number of machines
+	orderedFor   map[Offering][]string        // IDs of the jobs for whose unplaceable tasks machines are ordered
 	totalCPU     units.Amount                 // CPUs of existing and ordered machines
 }
 
@@ -58,6 +66,7 @@
 		offerings:    pricedOfferings(view),
 		freeCapacity: map[Offering]units.Resources{},
 		orders:       map[Offering]int{},
+		orderedFor:   map[Offering][]string{},
 	}
 	for _, o := range p.offerings {
 		p.addMachines(o, view.Machines[o.offering])
@@ -173,7 +182,7 @@
 	var orders []Order
 	for _, o := range p.offerings {
 		if count := p.orders[o.offering]; count > 0 {
-			orders = append(orders, Order{o.offering, min(count, protocol.MaxScaleOut)})
+			orders = append(orders, Order{o.offering, min(count, protocol.MaxScaleOut), p.orderedFor[o.offering]})
 		}
 	}
 	return orders
--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -88,7 +88,7 @@
 		Unavailable:    func(Offering) bool { return false },
 		Demand:         []TaskDemand{{&protocol.JobSpec{Request: fake.CPUs(4), AllowSpot: true}, 8}},
 	}
-	want := []Order{{Offering{"big", "a", true}, 1}}
+	want := []Order{{Offering: Offering{"big", "a", true}, Count: 1}}
 	if got := PlanScaleOut(&view); !reflect.DeepEqual(got, want) {
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -129,17 +129,22 @@
 		return nil // the existing capacity is unknown
 	}
 	view := as.capacityView(as.PolicyInput())
+	view.Unplaceable = as.overdueTasks(now)
 	view.Unavailable = func(offering Offering) bool { return now < as.provisioning.unavailable[offering].until }
 	var requests []protocol.ScaleOutRequest
 	for _, order := range PlanScaleOut(&view) {
 		as.scaleOutRequests++
-		requests = append(requests, protocol.ScaleOutRequest{
+		request := protocol.ScaleOutRequest{
 			RequestID:    fmt.Sprintf("r-%d-%d", as.Token, as.scaleOutRequests),
 			InstanceType: order.Offering.InstanceType,
 			Zone:         order.Offering.Zone,
 			Spot:         order.Offering.Spot,
 			Count:        order.Count,
-		})
+		}
+		if len(order.For) > 0 {
+			as.Log.Info("waiting tasks have no room", "request", request.RequestID, "jobs", order.For)
+		}
+		requests = append(requests, request)
 	}
 	return requests
 }
--- a/internal/cluster/attempt.go
+++ b/internal/cluster/attempt.go
@@ -78,6 +78,7 @@
 		j.records.recordMachine(m.ID)
 		j.MarkChanged(now, true)
 	}
+	j.waitingSince = now
 	return s.attach(&Attempt{Job: j, Index: i, Number: number, Machine: m, Stage: Assigned, AssignedAt: now})
 }
 
@@ -137,7 +138,7 @@
 	delete(a.Machine.Attempts, key)
 	a.Job.records.attemptGone(a.Machine.ID)
 	if a.Job.LiveAttempts.remove(a) {
-		a.Job.requeueTask(a.Index)
+		a.Job.requeueTask(a.Index, now)
 	}
 	freeing := 0
 	if a.Stopping {
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -18,6 +18,9 @@
 	// heartbeat has listed.
 	UnreconciledMachines map[string]bool
 	LearnedAt            units.Micros // steady time at which this leader learned of it
+	// waitingSince is the later of the last placement of a task and the time at which the job
+	// began to have pending tasks again.
+	waitingSince units.Micros
 	JobOutcomes
 
 	done        doneTasks
@@ -89,14 +92,21 @@
 }
 
 // requeueTask makes a task whose last attempt was removed pending again, unless it is done.
-func (j *Job) requeueTask(i int) {
+func (j *Job) requeueTask(i int, now units.Micros) {
 	if j.IsDone(i) {
 		j.doneAndLive--
 		return
 	}
 	j.pending.retries = append(j.pending.retries, i)
+	if onlyPending := j.Pending() == 1; onlyPending {
+		j.waitingSince = now
+	}
 }
 
+// WaitingSince returns the steady time since which the job's pending tasks have waited without a
+// placement under this leader.
+func (j *Job) WaitingSince() units.Micros { return max(j.LearnedAt, j.waitingSince) }
+
 // HasTasksToPlace reports whether the job is accepted, not cancelled and has pending tasks.
 func (j *Job) HasTasksToPlace() bool { return j.stored && !j.Cancelled && j.Pending() > 0 }
 
@@ -212,6 +222,9 @@
 // name.
 func (j *Job) CanRecordMachine(machine string) bool { return j.records.hasSpaceFor(machine) }
 
+// CanRecordNewMachine reports whether the job's records have space for the name of one more machine.
+func (j *Job) CanRecordNewMachine() bool { return j.records.hasSpaceFor(newMachineName) }
+
 // MachineNameIsDurable reports whether a record durably names the machine, so that a later leader
 // expects the job's tasks there.
 func (j *Job) MachineNameIsDurable(machine string) bool {
--- a/internal/cluster/machinenames.go
+++ b/internal/cluster/machinenames.go
@@ -156,6 +156,9 @@
 	return r.format != storage.FormatV1 || r.main.nameBytes+storage.MachineNameSize(machine) <= r.main.nameLimit || r.recordOf[machine] != nil
 }
 
+// newMachineName has the length of the names that the cloud gives to machines.
+const newMachineName = "i-000000"
+
 // isDurable reports whether a stored record names the machine and no later write omits the name.
 func (r *jobRecords) isDurable(machine string) bool {
 	record := r.recordOf[machine]
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -14,8 +14,8 @@
 	l.admission.WriteMetrics(w)
 }
 
-// writeTaskMetrics writes the numbers of pending and placed tasks by class and priority, the
-// numbers of machines, and the fencing token.
+// writeTaskMetrics writes the numbers of pending and placed tasks by class and priority, of tasks
+// that have no room, of machines, and the fencing token.
 func (l *Leader) writeTaskMetrics(w io.Writer) {
 	l.state.Lock()
 	defer l.state.Unlock()
@@ -40,5 +40,6 @@
 			reporting++
 		}
 	}
+	fmt.Fprintf(w, "dunestand_tasks_without_room %d\n", l.autoscaler.TasksWithoutRoom(now))
 	fmt.Fprintf(w, "dunestand_machines %d\ndunestand_machines_reporting %d\ndunestand_term %d\n", len(l.state.Machines), reporting, l.token)
 }
--- /dev/null
+++ b/internal/scheduler/unplaceable.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"math"
+
+	"dunestand/internal/cluster"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// UnplaceableTasks are waiting tasks of one job for which no machine has room that Plan would use.
+type UnplaceableTasks struct {
+	Spec         *protocol.JobSpec
+	Count        int
+	WaitingSince units.Micros // steady time, see cluster.Job.WaitingSince
+
+	view JobView // with the tasks that do have room counted as live
+}
+
+// TasksWithinZone returns how many of the tasks may be placed in a zone, given the job's tasks that
+// are live or have room.
+func (u *UnplaceableTasks) TasksWithinZone(zone string) int {
+	return max(0, min(u.Count, tasksWithinZone(&u.view, zone)))
+}
+
+// RoomCheck is the result of Scheduler.CheckRoom.
+type RoomCheck struct {
+	// Unplaceable are the tasks without room, by job in scheduling order.
+	Unplaceable []UnplaceableTasks
+	// Claimed holds the IDs of the machines whose free capacity waiting tasks are going to use.
+	Claimed map[string]bool
+}
+
+// CheckRoom finds the waiting tasks that fit on no machine, by the rules by which Plan places tasks:
+// where the job's live tasks are, which machines it avoids, the free capacity of each single machine,
+// headroom and quota limits. A machine counts if provides reports that it can be given work, now or
+// once it has booted. Capacity that tasks being stopped hold counts as free. CheckRoom changes
+// nothing, and takes the jobs in the order of the last cycle.
+func (sc *Scheduler) CheckRoom(now units.Micros, provides func(m *cluster.Machine) bool) RoomCheck {
+	snapshot := Snapshot{MaxPlacements: math.MaxInt, Partial: true}
+	teams := sc.snapshotTeams(&snapshot)
+	check := RoomCheck{Claimed: map[string]bool{}}
+	jobs := sc.snapshotWaiting(&snapshot, teams, now)
+	if len(jobs) == 0 {
+		return check
+	}
+	sc.snapshotRoom(&snapshot, provides)
+	p := newPlanner(&snapshot)
+	for i, job := range jobs {
+		view := &snapshot.Jobs[i]
+		if snapshot.Teams[view.Team].Blocked {
+			continue
+		}
+		if tasks := p.claimRoom(i, view); tasks > 0 && now >= job.RetryAt && job.CanRecordNewMachine() {
+			check.Unplaceable = append(check.Unplaceable, UnplaceableTasks{
+				Spec:         &job.Spec,
+				Count:        tasks,
+				WaitingSince: job.WaitingSince(),
+				view:         *view,
+			})
+		}
+	}
+	for _, placement := range p.decisions.Placements {
+		check.Claimed[snapshot.Machines[placement.Machine].ID] = true
+	}
+	return check
+}
+
+// snapshotRoom adds the machines that provide capacity and have some of it free.
+func (sc *Scheduler) snapshotRoom(snapshot *Snapshot, provides func(m *cluster.Machine) bool) {
+	for _, m := range sc.State.SortedMachines() {
+		free := m.Free().Plus(m.Freeing, 1)
+		if free.CPU <= 0 || !provides(m) {
+			continue
+		}
+		snapshot.Machines = append(snapshot.Machines, MachineView{
+			ID:           m.ID,
+			InstanceType: m.InstanceType,
+			Zone:         m.Zone,
+			Spot:         m.Spot,
+			Schedulable:  true,
+			Slow:         m.Slow,
+			Capacity:     m.Capacity,
+			Free:         free,
+			Headroom:     sc.headroom[m],
+			HasImage:     m.HasImage,
+		})
+	}
+}
+
+// snapshotWaiting adds the jobs that wait for placement, also those that are retried later, and
+// returns them in the order of their views. Jobs with unreconciled machines are left out: their
+// tasks may be running there. So are gangs with live tasks, which have to end first.
+func (sc *Scheduler) snapshotWaiting(snapshot *Snapshot, teams map[string]int, now units.Micros) []*cluster.Job {
+	var jobs []*cluster.Job
+	for _, queued := range sc.queue {
+		job := queued.job
+		if !jobSchedulable(job, max(now, job.RetryAt)) || job.Spec.Kind == protocol.Gang && len(job.LiveAttempts) > 0 {
+			continue
+		}
+		view := queued.view
+		view.Pending, view.LiveTasks, view.Team = job.Pending(), len(job.LiveAttempts), teams[job.Spec.Team]
+		countLiveTasks(&view, job)
+		snapshot.Jobs = append(snapshot.Jobs, view)
+		jobs = append(jobs, job)
+	}
+	return jobs
+}
+
+// claimRoom places a job's tasks on the machines that have room for them, and returns the number of
+// those left that the team's quota limit allows. The quota counts as used by these, too.
+func (p *planner) claimRoom(jobIndex int, job *JobView) int {
+	if job.Spec.Kind == protocol.Gang {
+		p.placeGang(jobIndex, job)
+	} else {
+		p.placeInOrder(jobIndex, job)
+	}
+	left := max(0, min(job.Pending, p.tasksWithinQuota(job)))
+	if job.Spec.Kind == protocol.Gang && left < job.Pending {
+		left = 0 // a gang starts only as a whole
+	}
+	if job.Pending > 0 {
+		p.blockFullTeam(job)
+	}
+	team := &p.snapshot.Teams[job.Team]
+	team.Used = team.Used.Plus(job.Spec.Request, left)
+	return left
+}
+
+// placeInOrder places a job's tasks on the machines in the order of the snapshot, which is cheaper
+// than to rank them.
+func (p *planner) placeInOrder(jobIndex int, job *JobView) {
+	for machine := range p.snapshot.Machines {
+		if p.placeableTasks(job) <= 0 {
+			return
+		}
+		if p.snapshot.Machines[machine].freeFor(job).CountFitting(job.Spec.Request) == 0 || !p.feasible(machine, job) {
+			continue
+		}
+		if n := p.placeableOn(job, machine); n > 0 {
+			p.placeTasks(jobIndex, job, machine, n)
+		}
+	}
+}
