A job avoids a machine on which it failed for a minute at most

What users saw: a job of one task fits one machine. A like job that is submitted later gets done there.

Hypotheses: the machine is quarantined; the job waits for its backoff (RetryAt); the job avoids the machine.

Cause: Job.FailedMachines named a machine for good. A third failed machine would have ended the avoidance, but a job that fits one or two machines never gets to a third.

Change: the avoidance lasts 15 s and doubles with each further failure there, up to 60 s, so that a job is retried within the 90 s after a fault has ended, and one that fails everywhere is retried once a minute. A machine on which a job failed comes after all others. Services had the same fault.

--- a/internal/autoscaler/harness_fleet_test.go
+++ b/internal/autoscaler/harness_fleet_test.go
@@ -40,6 +40,7 @@
 	bootedAt map[string]units.Micros
 	lost     map[string]bool // machines that send no heartbeats any more
 	faulty   map[string]bool // machines on which every task fails
+	failing  map[string]bool // jobs whose tasks fail on every machine
 	runTimes map[string]units.Micros
 	failures int // failed attempts so far
 }
@@ -54,6 +55,7 @@
 		bootedAt: map[string]units.Micros{},
 		lost:     map[string]bool{},
 		faulty:   map[string]bool{},
+		failing:  map[string]bool{},
 		runTimes: map[string]units.Micros{},
 	}
 	settings := fake.Settings()
@@ -188,7 +190,7 @@
 		switch {
 		case attempt.Stopping:
 			f.as.State.RemoveAttempt(attempt, now)
-		case f.faulty[m.ID]:
+		case f.faulty[m.ID] || f.failing[job.Spec.ID]:
 			f.failures++
 			if job.IsService() {
 				outcomes.ReplicaEnded(attempt, true, now)
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -39,11 +39,11 @@
 
 // JobOutcomes are the statistics of a job's finished attempts, see Outcomes.
 type JobOutcomes struct {
-	ConsecutiveErrors int             // failed attempts since the last success
-	FailedMachines    map[string]bool // IDs of the machines on which attempts failed
-	Succeeded         bool            // an attempt has completed, or a replica is steady
-	RetryAt           units.Micros    // steady time before which no task is placed
-	Started           bool            // a heartbeat has shown one of its tasks running
+	ConsecutiveErrors int            // failed attempts since the last success
+	FailedMachines    FailedMachines // on which attempts failed
+	Succeeded         bool           // an attempt has completed, or a replica is steady
+	RetryAt           units.Micros   // steady time before which no task is placed
+	Started           bool           // a heartbeat has shown one of its tasks running
 
 	totalRuntime units.Micros // sum over the observed runs
 	observedRuns int
@@ -56,7 +56,7 @@
 		Submitted:            submitted,
 		LiveAttempts:         LiveAttempts{},
 		UnreconciledMachines: map[string]bool{},
-		JobOutcomes:          JobOutcomes{FailedMachines: map[string]bool{}},
+		JobOutcomes:          JobOutcomes{FailedMachines: FailedMachines{}},
 		done:                 newDoneTasks(spec.Tasks),
 		write:                newWriteState(),
 	}
--- a/internal/cluster/outcomes.go
+++ b/internal/cluster/outcomes.go
@@ -124,7 +124,7 @@
 func (o *Outcomes) AttemptFailed(a *Attempt, now units.Micros) {
 	j, m := a.Job, a.Machine
 	j.ConsecutiveErrors++
-	j.FailedMachines[m.ID] = true
+	j.FailedMachines.add(m.ID, now)
 	if !j.Succeeded && len(j.FailedMachines) >= backOffAfterMachines {
 		shift := min(len(j.FailedMachines)+j.ConsecutiveErrors/4, maxBackoffShift)
 		j.RetryAt = now + min(errorBackoff<<shift, maxErrorBackoff)
@@ -179,7 +179,7 @@
 	if failed {
 		o.AttemptFailed(a, now)
 	}
-	j.FailedMachines[a.Machine.ID] = true
+	j.FailedMachines.add(a.Machine.ID, now)
 	if j.shortRuns == nil {
 		j.shortRuns = map[int]int{}
 	}
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -19,6 +19,7 @@
 type score struct {
 	liveInZone       int  // the service's replicas in the zone; 0 for other jobs
 	liveOnMachine    int  // the service's replicas on the machine; 0 for other jobs
+	failed           bool // a task of the job has failed on the machine
 	slow             bool // the machine runs tasks slower than other machines do
 	hasImage         bool
 	heartbeatPending bool // a start is delivered at once
@@ -37,6 +38,9 @@
 	if c := cmp.Compare(s.liveOnMachine, other.liveOnMachine); c != 0 {
 		return c
 	}
+	if c := compareBools(s.failed, other.failed); c != 0 {
+		return c
+	}
 	if c := compareBools(s.slow, other.slow); c != 0 {
 		return c
 	}
@@ -54,8 +58,8 @@
 }
 
 // rankCandidates returns the machines on which at least one of the job's tasks fits, the best
-// first by score.compare. Slow machines come after all others, except that a service's replicas
-// are spread first. Of the others, machines that hold the image come first, and those with the
+// first by score.compare. Machines on which the job failed come after all others, and slow ones
+// before them, except that a service's replicas are spread first. Of the others, machines that hold the image come first, and those with the
 // most free capacity next (docs/design.md). Machines that hold the image are ordered by their
 // next heartbeat, whose response delivers a start, and then by free capacity. The slice is valid
 // until the next call.
@@ -78,6 +82,7 @@
 // job.
 func scoreMachine(job *JobView, machine int, m *MachineView) score {
 	s := score{
+		failed:           job.FailedOn != nil && job.FailedOn(m.ID),
 		slow:             m.Slow,
 		hasImage:         m.HasImage(job.Spec.Image),
 		heartbeatPending: m.HeartbeatPending,
--- a/internal/scheduler/score_test.go
+++ b/internal/scheduler/score_test.go
@@ -72,7 +72,8 @@
 		better, worse score
 	}{
 		{"replicas in the zone", score{liveOnMachine: 1}, score{liveInZone: 1}},
-		{"replicas on the machine", score{slow: true}, score{liveOnMachine: 1}},
+		{"replicas on the machine", score{failed: true}, score{liveOnMachine: 1}},
+		{"failed machine", score{slow: true}, score{failed: true}},
 		{"slow machine", score{}, score{slow: true, hasImage: true}},
 		{"image", score{hasImage: true}, score{heartbeatPending: true}},
 		{"heartbeat pending", score{heartbeatPending: true}, score{freeCPU: 1}},
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -103,10 +103,6 @@
 	slices.SortFunc(sc.queue, func(a, b queuedJob) int { return compareJobs(&a.view, &b.view) })
 }
 
-// maxAvoidedMachines is the number of machines up to which a job avoids those on which its
-// tasks failed. If they failed on more machines, the cause is the job rather than a machine.
-const maxAvoidedMachines = 2
-
 // jobView returns a view of a job without LiveByZone and LiveByMachine (see countLiveTasks).
 func (sc *Scheduler) jobView(job *cluster.Job, team int, withinGuarantee bool, now units.Micros) *JobView {
 	in := sc.rankInput(job)
@@ -122,8 +118,9 @@
 		Rank:              sc.Policy.Rank(in),
 		Starved:           sc.starved(job) && len(job.LiveAttempts) == 0,
 		Avoid: func(machine string) bool {
-			return job.FailedMachines[machine] && len(job.FailedMachines) <= maxAvoidedMachines || !job.CanRecordMachine(machine)
+			return job.FailedMachines.Avoided(machine, now) || !job.CanRecordMachine(machine)
 		},
+		FailedOn: job.FailedMachines.Has,
 	}
 }
 
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -72,4 +72,7 @@
 	LiveByMachine     map[int]int    // live tasks by index in Snapshot.Machines; nil unless a service
 	// Avoid reports whether the job must not be placed on the machine with the given ID.
 	Avoid func(machine string) bool
+	// FailedOn reports whether a task of the job has failed on the machine with the given ID. If it
+	// is nil, none has.
+	FailedOn func(machine string) bool
 }
