Tasks that no available offering suits take no quota from others

A replica for which the cloud had no machine counted against its team's quota limit, so that no machine was ordered for a later job of the team, which waited for ever.

Cause: CheckRoom subtracted the unplaceable tasks of each job from the quota before the next job.

Change: CheckRoom reports what the tasks with room leave of the quota, and the plan subtracts the tasks for which it does order machines.

--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -18,6 +18,7 @@
 	SpotPreference float64      // weight of a spot instance's price
 	// Unplaceable are waiting tasks, part of Demand, for which the existing machines have no room.
 	Unplaceable []scheduler.UnplaceableTasks
+	QuotaLeft   map[string]units.Resources // what the unplaceable tasks may use, by team
 	// Unavailable reports whether the cloud recently had too few machines of an offering.
 	Unavailable func(Offering) bool
 }
--- a/internal/autoscaler/planroom.go
+++ b/internal/autoscaler/planroom.go
@@ -1,6 +1,9 @@
 package autoscaler
 
 import (
+	"maps"
+
+	"dunestand/internal/protocol"
 	"dunestand/internal/scheduler"
 	"dunestand/internal/units"
 )
@@ -59,20 +62,34 @@
 		return
 	}
 	machines := p.orderedMachines()
+	quotaLeft := maps.Clone(p.view.QuotaLeft)
 	for i := range p.view.Unplaceable {
 		tasks := &p.view.Unplaceable[i]
-		search := &roomSearch{tasks: tasks, left: tasks.Count, inZone: map[string]int{}}
-		for k := range machines {
-			search.place(&machines[k])
+		request := tasks.Spec.Request
+		wanted := min(tasks.Count, quotaLeft[tasks.Spec.Team].CountFitting(request))
+		if tasks.Spec.Kind == protocol.Gang && wanted < tasks.Count {
+			continue // a gang starts only as a whole
 		}
-		for search.left > 0 {
-			ordered := p.orderRoom(search)
-			if ordered == nil {
-				break // no available offering allows these tasks
-			}
-			machines = append(machines, ordered...)
+		search := &roomSearch{tasks: tasks, left: wanted, inZone: map[string]int{}}
+		machines = p.findRoom(search, machines)
+		quotaLeft[tasks.Spec.Team] = quotaLeft[tasks.Spec.Team].Plus(request, search.left-wanted)
+	}
+}
+
+// findRoom promises the capacity of ordered machines to the tasks of a search, and orders machines for
+// the rest. It returns the ordered machines with those that it added.
+func (p *scaleOutPlan) findRoom(search *roomSearch, machines []orderedMachine) []orderedMachine {
+	for i := range machines {
+		search.place(&machines[i])
+	}
+	for search.left > 0 {
+		ordered := p.orderRoom(search)
+		if ordered == nil {
+			break // no available offering allows these tasks
 		}
+		machines = append(machines, ordered...)
 	}
+	return machines
 }
 
 // orderedMachines returns the machines that the plan orders so far.
--- a/internal/autoscaler/room.go
+++ b/internal/autoscaler/room.go
@@ -34,10 +34,12 @@
 	return as.countsAsCapacity(m, now) && !silent && !m.IgnoresCommands()
 }
 
-// overdueTasks returns the tasks for which machines are to be ordered because they have waited
-// without room for too long.
-func (as *Autoscaler) overdueTasks(now units.Micros) []scheduler.UnplaceableTasks {
-	return slices.DeleteFunc(as.checkRoom(now).Unplaceable, func(tasks scheduler.UnplaceableTasks) bool {
+// addOverdueTasks adds to a view the tasks for which machines are to be ordered because they have
+// waited without room for too long.
+func (as *Autoscaler) addOverdueTasks(view *CapacityView, now units.Micros) {
+	check := as.checkRoom(now)
+	view.QuotaLeft = check.QuotaLeft
+	view.Unplaceable = slices.DeleteFunc(check.Unplaceable, func(tasks scheduler.UnplaceableTasks) bool {
 		return now-tasks.WaitingSince < roomDelay(tasks.Spec)
 	})
 }
--- a/internal/autoscaler/room_test.go
+++ b/internal/autoscaler/room_test.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// A task for which the cloud has no machine took the team's quota from a job that could have had one.
+func TestTaskThatNoOfferingSuitsTakesNoQuota(t *testing.T) {
+	f := newSimulatedFleet(t, 6, map[Offering]int{{"small", "b", false}: 1})
+	spec := service("j-000001", 1, 4)
+	spec.Zone = "a"
+	f.submit(spec, 0)
+	other := f.submit(service("j-000002", 1, 4), 0)
+	f.runUntil(maxWait, "the other service runs", func() bool { return f.running(other) == 1 })
+}
+
 // The tasks of a job with zone affinity have to go to the zone of those that run, so capacity in
 // another zone is of no use to them.
 func TestMachineIsRentedInTheZoneOfTheJob(t *testing.T) {
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -129,7 +129,7 @@
 		return nil // the existing capacity is unknown
 	}
 	view := as.capacityView(as.PolicyInput())
-	view.Unplaceable = as.overdueTasks(now)
+	as.addOverdueTasks(&view, now)
 	view.Unavailable = func(offering Offering) bool { return now < as.provisioning.unavailable[offering].until }
 	var requests []protocol.ScaleOutRequest
 	for _, order := range PlanScaleOut(&view) {
--- a/internal/scheduler/unplaceable.go
+++ b/internal/scheduler/unplaceable.go
@@ -27,6 +27,9 @@
 type RoomCheck struct {
 	// Unplaceable are the tasks without room, by job in scheduling order.
 	Unplaceable []UnplaceableTasks
+	// QuotaLeft is what the placed tasks and those that have room leave of the quota limits, by team.
+	// It suffices for the unplaceable tasks of each single job.
+	QuotaLeft map[string]units.Resources
 	// Claimed holds the IDs of the machines whose free capacity waiting tasks are going to use.
 	Claimed map[string]bool
 }
@@ -39,7 +42,7 @@
 func (sc *Scheduler) CheckRoom(now units.Micros, provides func(m *cluster.Machine) bool) RoomCheck {
 	snapshot := Snapshot{MaxPlacements: math.MaxInt, Partial: true}
 	teams := sc.snapshotTeams(&snapshot)
-	check := RoomCheck{Claimed: map[string]bool{}}
+	check := RoomCheck{QuotaLeft: map[string]units.Resources{}, Claimed: map[string]bool{}}
 	jobs := sc.snapshotWaiting(&snapshot, teams, now)
 	if len(jobs) == 0 {
 		return check
@@ -60,6 +63,9 @@
 			})
 		}
 	}
+	for name, i := range teams {
+		check.QuotaLeft[name] = snapshot.Teams[i].QuotaLimit.Plus(snapshot.Teams[i].Used, -1)
+	}
 	for _, placement := range p.decisions.Placements {
 		check.Claimed[snapshot.Machines[placement.Machine].ID] = true
 	}
@@ -108,22 +114,21 @@
 }
 
 // claimRoom places a job's tasks on the machines that have room for them, and returns the number of
-// those left that the team's quota limit allows. The quota counts as used by these, too.
+// those left that the team's quota limit allows.
 func (p *planner) claimRoom(jobIndex int, job *JobView) int {
 	if job.Spec.Kind == protocol.Gang {
 		p.placeGang(jobIndex, job)
 	} else {
 		p.placeInOrder(jobIndex, job)
 	}
-	left := max(0, min(job.Pending, p.tasksWithinQuota(job)))
-	if job.Spec.Kind == protocol.Gang && left < job.Pending {
-		left = 0 // a gang starts only as a whole
+	if job.Pending == 0 {
+		return 0
 	}
-	if job.Pending > 0 {
-		p.blockFullTeam(job)
+	p.blockFullTeam(job)
+	left := min(job.Pending, p.tasksWithinQuota(job))
+	if job.Spec.Kind == protocol.Gang && left < job.Pending {
+		return 0 // a gang starts only as a whole
 	}
-	team := &p.snapshot.Teams[job.Team]
-	team.Used = team.Used.Plus(job.Spec.Request, left)
 	return left
 }
 
