An idle machine that the demand needs is not returned and rented in turn

What users saw: a fleet without work rents a machine every 20 s and returns it 20 s later, without end.

Cause: IdleMachines compared how many machines would have to be rented with and without a machine. If a larger type, which the cloud did not have, covered the demand in both cases, the number was the same, the machine was returned, and the offerings that the cloud did have were ordered again.

Change: it compares the number of tasks without capacity, whatever could be rented for them.

--- a/internal/autoscaler/idle.go
+++ b/internal/autoscaler/idle.go
@@ -8,8 +8,8 @@
 	"dunestand/internal/units"
 )
 
-// maxIdleCandidates limits the machines that one call of IdleMachines considers, since it plans
-// a scale-out for each of them.
+// maxIdleCandidates limits the machines that one call of IdleMachines considers, since it compares
+// the demand with the capacity for each of them.
 const maxIdleCandidates = 50
 
 // IdleMachines returns the machines that have been idle for longer than the policy's idle
@@ -26,8 +26,7 @@
 	// The remaining machines must be of offerings that the tasks allow, as well as have enough
 	// CPUs: services may not be allowed on the cheapest offerings.
 	view := as.capacityView(in)
-	view.ReserveCPUs, view.Unavailable = 0, func(Offering) bool { return false }
-	missing := missingMachineCount(&view)
+	unmet := unmetTaskCount(&view)
 	claimed := as.checkRoom(now).Claimed
 	idle := candidates[:0]
 	for _, m := range candidates[:min(len(candidates), maxIdleCandidates)] {
@@ -35,7 +34,7 @@
 			continue
 		}
 		offering := offeringOf(m)
-		if view.Machines[offering]--; missingMachineCount(&view) > missing {
+		if view.Machines[offering]--; unmetTaskCount(&view) > unmet {
 			view.Machines[offering]++
 			continue
 		}
@@ -61,13 +60,3 @@
 	})
 	return candidates
 }
-
-// missingMachineCount returns how many machines would have to be rented to cover the demand of
-// a view.
-func missingMachineCount(view *CapacityView) int {
-	count := 0
-	for _, order := range PlanScaleOut(view) {
-		count += order.Count
-	}
-	return count
-}
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -38,10 +38,7 @@
 // on any single machine and get none on those ordered so far.
 func PlanScaleOut(view *CapacityView) []Order {
 	p := newScaleOutPlan(view)
-	demands := slices.Clone(view.Demand)
-	// Tasks that allow the fewest offerings go first, before others use up the capacity there.
-	slices.SortStableFunc(demands, func(a, b TaskDemand) int { return cmp.Compare(p.allowedOfferingCount(a), p.allowedOfferingCount(b)) })
-	for _, demand := range demands {
+	for _, demand := range p.orderedDemand() {
 		if left := p.useFreeCapacity(demand); left > 0 {
 			p.orderFor(demand, left)
 		}
@@ -51,6 +48,17 @@
 	return p.result()
 }
 
+// unmetTaskCount returns the number of tasks of the demand for which the existing machines have no
+// capacity, treated as one pool for each offering.
+func unmetTaskCount(view *CapacityView) int {
+	p := newScaleOutPlan(view)
+	count := 0
+	for _, demand := range p.orderedDemand() {
+		count += p.useFreeCapacity(demand)
+	}
+	return count
+}
+
 // scaleOutPlan holds the state of one call of PlanScaleOut.
 type scaleOutPlan struct {
 	view         *CapacityView
@@ -87,6 +95,14 @@
 	p.addMachines(o, count)
 }
 
+// orderedDemand returns the demand with the tasks first that allow the fewest offerings, before
+// others use up the capacity there.
+func (p *scaleOutPlan) orderedDemand() []TaskDemand {
+	demands := slices.Clone(p.view.Demand)
+	slices.SortStableFunc(demands, func(a, b TaskDemand) int { return cmp.Compare(p.allowedOfferingCount(a), p.allowedOfferingCount(b)) })
+	return demands
+}
+
 // allowedOfferingCount returns the number of offerings that the tasks allow.
 func (p *scaleOutPlan) allowedOfferingCount(demand TaskDemand) int {
 	count := 0
--- a/internal/autoscaler/room_test.go
+++ b/internal/autoscaler/room_test.go
@@ -81,6 +81,20 @@
 	f.runUntil(maxWait, "the other service runs", func() bool { return f.running(other) == 1 })
 }
 
+// An idle machine that the demand needed was returned, and rented again at once, if the plan without
+// it ordered as many machines, of a larger type that the cloud did not have.
+func TestReturnedMachineIsNotRentedAgain(t *testing.T) {
+	f := newSimulatedFleet(t, 100, map[Offering]int{{"small", "b", false}: 2})
+	f.addMachine(Offering{"large", "a", false})
+	spec := service("j-000001", 1, 4)
+	spec.Zone, spec.Priority = "b", protocol.Production
+	job := f.submit(spec, 0) // it also needs headroom in its zone
+	f.run(5 * maxWait)
+	if f.running(job) != 1 || f.rented != 2 {
+		t.Errorf("%d replicas run, %d machines rented, want 1 and 2", f.running(job), f.rented)
+	}
+}
+
 // The tasks of a job with zone affinity have to go to the zone of those that run, so capacity in
 // another zone is of no use to them.
 func TestMachineIsRentedInTheZoneOfTheJob(t *testing.T) {
