A new leader does not rent the fleet again before its first heartbeats

What users saw: with each change of the leader machines are rented for all unfinished tasks, as far as the cloud has them, and returned when they have been idle.

Cause: the new leader reads the list of machines before the first heartbeats, and a machine that had been launched more than three boot times before and had not registered with this leader counted as none.

Change: a machine that the cloud lists as running counts as capacity until a worker's lease after the election. By then it has found the leader or its tasks have ended.

Measured: TestNewLeaderRentsNothingForMachinesThatRun fails on the previous commit (4 machines rented for 4 that ran) and passes now.

--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -89,8 +89,13 @@
 }
 
 // countsAsCapacity reports whether a machine is or soon will be available for work: it is not about
-// to go, and it has registered or may still be booting.
+// to go, and it has registered, may still be booting, or may not have found a new leader yet.
 func (as *Autoscaler) countsAsCapacity(m *cluster.Machine, now units.Micros) bool {
+	if m.Releasing || m.Quarantined || m.TerminatesAt > 0 {
+		return false
+	}
 	bootGrace := bootGraceFactor*as.bootTime(m) + bootGraceMargin
-	return !m.Releasing && !m.Quarantined && m.TerminatesAt == 0 && (m.Registered || now-m.LaunchedAt <= bootGrace)
+	booting := now-m.LaunchedAt <= bootGrace
+	searching := m.Stage == protocol.MachineRunning && now-as.ElectedAt <= as.Detector.WorkerLease()
+	return m.Registered || booting || searching
 }
--- a/internal/autoscaler/room_test.go
+++ b/internal/autoscaler/room_test.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// A new leader reads the list of machines before their first heartbeats. It must not rent the fleet
+// once more.
+func TestNewLeaderRentsNothingForMachinesThatRun(t *testing.T) {
+	f := newSimulatedFleet(t, 100, map[Offering]int{{"small", "a", false}: 8})
+	for range 4 {
+		f.addMachine(Offering{"small", "a", false})
+	}
+	f.clock.Now += 1000 * units.Second
+	f.elect(8, f.as.Settings)
+	for number := range 4 {
+		m := f.as.State.EnsureMachine(machineID(number), "small", "a", false, f.clock.Now)
+		m.LaunchedAt, m.Stage = f.clock.Now-1000*units.Second, protocol.MachineRunning
+		f.bootedAt[m.ID] = f.clock.Now + 5*units.Second
+	}
+	job := f.submit(service("j-000001", 4, 4), 0)
+	f.run(maxWait)
+	if f.running(job) != 4 || f.rented != 0 {
+		t.Errorf("%d replicas run, %d machines rented", f.running(job), f.rented)
+	}
+}
+
 // The tasks of a job with zone affinity have to go to the zone of those that run, so capacity in
 // another zone is of no use to them.
 func TestMachineIsRentedInTheZoneOfTheJob(t *testing.T) {
