A service that waits for quota does not block its team for good

What users saw: nothing yet; found by the random test of the check for room. A service that does not fit into its team's quota limit beside the team's other services kept all later jobs of the team waiting, beside empty machines and with the team under its limit.

Cause: blockFullTeam lets a team's later jobs wait so that tasks which end free quota for a larger task. Services do not end, so what they hold is never freed.

Change: teams and machines count what services hold, and a team is blocked only if the task would fit beside its services.

--- /dev/null
+++ b/internal/autoscaler/waiting_test.go
@@ -0,0 +1,44 @@
+package autoscaler
+
+import (
+	"testing"
+
+	"dunestand/internal/fake"
+	"dunestand/internal/protocol"
+	"dunestand/internal/units"
+)
+
+// The tests of this file hold what could keep a job from an empty machine until something happens
+// that cannot happen any more. The cloud has no machines on offer.
+
+// A service that waits for quota blocked the smaller jobs of its team for good, since no other service
+// of the team ever completes.
+func TestServiceOverQuotaDoesNotBlockItsTeam(t *testing.T) {
+	f := newSimulatedFleet(t, 10, map[Offering]int{})
+	f.addMachine(Offering{"large", "a", false})
+	f.submit(service("j-000001", 2, 4), 0)
+	f.run(5 * units.Second)
+	f.submit(service("j-000002", 1, 4), 0)
+	small := f.submit(protocol.JobSpec{ID: "j-000003", Tasks: 1, Request: fake.CPUs(2)}, 5*units.Second)
+	f.runUntil(maxWait, "the small job is done", small.Complete)
+}
+
+// A team whose job waits for quota that tasks are going to free still blocks its smaller jobs, which
+// would otherwise use up what becomes free.
+func TestJobOverQuotaBlocksItsTeamUntilTasksEnd(t *testing.T) {
+	f := newSimulatedFleet(t, 10, map[Offering]int{})
+	f.addMachine(Offering{"large", "a", false})
+	serving := service("j-000001", 1, 4)
+	serving.Priority = protocol.High // not to be preempted
+	f.submit(serving, 0)
+	f.submit(protocol.JobSpec{ID: "j-000002", Tasks: 1, Request: fake.CPUs(4), Priority: protocol.High}, 30*units.Second)
+	f.run(5 * units.Second)
+	waiting := f.submit(protocol.JobSpec{ID: "j-000003", Tasks: 1, Request: fake.CPUs(4), Priority: protocol.High}, 5*units.Second)
+	small := f.submit(protocol.JobSpec{ID: "j-000004", Tasks: 1, Request: fake.CPUs(2)}, 5*units.Second)
+	f.run(10 * units.Second)
+	if len(small.LiveAttempts) > 0 || small.Complete() {
+		t.Error("the small job took quota that the urgent job waits for")
+	}
+	f.runUntil(maxWait, "both are done", func() bool { return waiting.Complete() && small.Complete() })
+}
+
--- a/internal/cluster/usage.go
+++ b/internal/cluster/usage.go
@@ -15,14 +15,19 @@
 
 // Usage is the sum of the resource requests of the live attempts on a machine or of a team.
 type Usage struct {
-	Used    units.Resources
-	Freeing units.Resources // the part of Used whose attempts are to be stopped
+	Used     units.Resources
+	Freeing  units.Resources // the part of Used whose attempts are to be stopped
+	Services units.Resources // the part of Used of replicas of services, which do not complete
 }
 
-// add adds a request, multiplied by used and freeing, to Used and Freeing.
-func (u *Usage) add(request units.Resources, used, freeing int) {
+// add adds the request of an attempt's job, multiplied by used and freeing, to Used and Freeing.
+func (u *Usage) add(job *Job, used, freeing int) {
+	request := job.Spec.Request
 	u.Used = u.Used.Plus(request, used)
 	u.Freeing = u.Freeing.Plus(request, freeing)
+	if job.IsService() {
+		u.Services = u.Services.Plus(request, used)
+	}
 }
 
 func newTeam(t config.Team) *Team {
@@ -61,8 +66,8 @@
 // addUsage adds an attempt's request, multiplied by used and freeing, to Used and Freeing of its
 // machine and team.
 func (s *State) addUsage(a *Attempt, used, freeing int) {
-	a.Machine.Usage.add(a.Job.Spec.Request, used, freeing)
+	a.Machine.Usage.add(a.Job, used, freeing)
 	if t := s.Teams[a.Job.Spec.Team]; t != nil {
-		t.Usage.add(a.Job.Spec.Request, used, freeing)
+		t.Usage.add(a.Job, used, freeing)
 	}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -107,6 +107,9 @@
 	m.Free = m.Free.Plus(job.Spec.Request, -n)
 	team := &p.snapshot.Teams[job.Team]
 	team.Used = team.Used.Plus(job.Spec.Request, n)
+	if job.Spec.Kind == protocol.Service {
+		team.Services = team.Services.Plus(job.Spec.Request, n)
+	}
 	p.usageAfterPreemption[job.Team] = p.usageAfterPreemption[job.Team].Plus(job.Spec.Request, n)
 	if job.LiveByZone != nil {
 		job.LiveByZone[m.Zone] += n
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -111,7 +111,10 @@
 
 // blockFullTeam blocks the team's later jobs in this cycle if not one more task of the job fits
 // into the team's quota limit. Otherwise smaller tasks would keep using up the remaining quota,
-// and a larger task would never fit.
+// and a larger task would never fit. If it does not fit beside the team's services either, which do
+// not complete, blocking the others would be of no use to the job and could last for ever.
 func (p *planner) blockFullTeam(job *JobView) {
-	p.snapshot.Teams[job.Team].Blocked = p.tasksWithinQuota(job) == 0
+	team := &p.snapshot.Teams[job.Team]
+	fitsBesideServices := team.QuotaLimit.Plus(team.Services, -1).CountFitting(job.Spec.Request) > 0
+	team.Blocked = p.tasksWithinQuota(job) == 0 && fitsBesideServices
 }
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -56,6 +56,7 @@
 			QuotaLimit:      team.QuotaLimit,
 			Used:            team.Used,
 			Freeing:         team.Freeing,
+			Services:        team.Services,
 		})
 	}
 	if sc.Detector.AllReconciled() {
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -21,6 +21,7 @@
 	QuotaLimit      units.Resources
 	Used            units.Resources // by tasks that may be running
 	Freeing         units.Resources // part of Used, held by tasks that are being stopped
+	Services        units.Resources // part of Used, held by replicas of services
 	Blocked         bool            // a job's next task exceeds QuotaLimit, so the team's later jobs wait
 }
 
