No machine is reserved for a task that never fits beside its services

What users saw: nothing yet; found by reading what the scheduler keeps from jobs. A starved job reserves a machine so that its room grows until a task fits. If a service on the machine left too little for that, the free capacity was kept from all other jobs for as long as the job waited.

Change: reserve passes over machines whose capacity without the services is too small.

--- a/internal/autoscaler/waiting_test.go
+++ b/internal/autoscaler/waiting_test.go
@@ -42,3 +42,15 @@
 	f.runUntil(maxWait, "both are done", func() bool { return waiting.Complete() && small.Complete() })
 }
 
+// A starved job reserved the free capacity of a machine for good if a service there left no room for it.
+func TestMachineIsNotReservedForTaskThatNeverFitsBesideServices(t *testing.T) {
+	f := newSimulatedFleet(t, 100, map[Offering]int{})
+	f.addMachine(Offering{"small", "a", false})
+	f.submit(service("j-000001", 1, 2), 0)
+	f.run(5 * units.Second)
+	f.submit(protocol.JobSpec{ID: "j-000002", Tasks: 1, Request: fake.CPUs(4)}, 5*units.Second)
+	f.run(200 * units.Second) // it is starved then
+	small := f.submit(protocol.JobSpec{ID: "j-000003", Tasks: 1, Request: fake.CPUs(2)}, 5*units.Second)
+	f.runUntil(maxWait, "the small job is done", small.Complete)
+}
+
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -109,6 +109,7 @@
 	team.Used = team.Used.Plus(job.Spec.Request, n)
 	if job.Spec.Kind == protocol.Service {
 		team.Services = team.Services.Plus(job.Spec.Request, n)
+		m.Services = m.Services.Plus(job.Spec.Request, n)
 	}
 	p.usageAfterPreemption[job.Team] = p.usageAfterPreemption[job.Team].Plus(job.Spec.Request, n)
 	if job.LiveByZone != nil {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -8,7 +8,7 @@
 // reserve reserves the free capacity of up to n machines for a job: otherwise smaller tasks
 // would keep taking it before a task of the job fits. It chooses the machines with the largest
 // capacity, where tasks end most often, and among those of equal capacity the ones with the
-// most free.
+// most free. On a machine whose services leave no room for the task it never fits.
 func (p *planner) reserve(jobIndex int, job *JobView, n int) {
 	if p.snapshot.Partial {
 		return
@@ -17,7 +17,8 @@
 	for i := range p.snapshot.Machines {
 		m := &p.snapshot.Machines[i]
 		fitsNow := m.freeFor(job).Plus(m.Freeing, 1).CountFitting(job.Spec.Request) > 0
-		if !m.Reserved && m.Capacity.CountFitting(job.Spec.Request) > 0 && !fitsNow && p.feasible(i, job) {
+		fitsBesideServices := m.Capacity.Plus(m.Services, -1).CountFitting(job.Spec.Request) > 0
+		if !m.Reserved && fitsBesideServices && !fitsNow && p.feasible(i, job) {
 			machines = append(machines, i)
 		}
 	}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -189,6 +189,7 @@
 		Capacity:               m.Capacity,
 		Free:                   m.Free(),
 		Freeing:                m.Freeing,
+		Services:               m.Services,
 		HasImage:               m.HasImage,
 		HeartbeatPending:       heartbeatPending,
 		HalfSecondsToHeartbeat: int(untilHeartbeat / halfSecond),
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -39,6 +39,7 @@
 	Capacity               units.Resources
 	Free                   units.Resources
 	Freeing                units.Resources // held by tasks that are being stopped
+	Services               units.Resources // held by replicas of services
 	Headroom               units.Resources // reserved for replicas and starved jobs; may exceed Free
 	FetchRate              units.Amount    // image download rate in GB per second; 0 if unknown
 	HasImage               func(name string) bool
