Urgent work runs on a machine that was slow after a long wait

Cause: the filter kept urgent work from slow machines for good. Only later runs on a machine change Machine.Slow, and none come if only urgent jobs fit it.

Change: a job whose tasks have waited for 30 s may use slow machines; they still come after all others. Nothing is preempted there for urgent work, as before.

--- a/internal/autoscaler/waiting_test.go
+++ b/internal/autoscaler/waiting_test.go
@@ -54,3 +54,18 @@
 	f.runUntil(maxWait, "the small job is done", small.Complete)
 }
 
+// Urgent work never got on a machine that had been slow once if no other machine fitted, since only
+// runs on the machine show that it is sound again.
+func TestUrgentJobRunsOnTheOnlyMachineThatWasSlow(t *testing.T) {
+	for _, kind := range []protocol.JobKind{protocol.Array, protocol.Service} {
+		f := newSimulatedFleet(t, 100, map[Offering]int{})
+		f.addMachine(Offering{"small", "b", false})
+		slow := f.addMachine(Offering{"small", "a", false})
+		f.as.State.Machines[slow].Slow = true
+		spec := boundTo(kind)
+		spec.Priority = protocol.High
+		job := f.submit(spec, 5*units.Second)
+		f.runUntil(maxWait, "the urgent job runs", func() bool { return f.running(job) == 1 })
+	}
+}
+
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -30,11 +30,12 @@
 }
 
 // feasible reports whether a job may be placed on a machine of the snapshot, without regard to
-// free capacity and quota. A slow machine gets no urgent work.
+// free capacity and quota. A slow machine gets urgent work only after a long wait: it may be the
+// only one that fits, and only further runs on it can show that it is no longer slow.
 func (p *planner) feasible(machine int, job *JobView) bool {
 	m := &p.snapshot.Machines[machine]
 	return m.Schedulable &&
-		!(m.Slow && job.urgent()) &&
+		!(m.Slow && job.urgent() && !job.WaitedLong) &&
 		PlacementAllowed(job.Spec, m.InstanceType, m.Zone, m.Spot) &&
 		tasksWithinZone(job, m.Zone) > 0 &&
 		!job.Avoid(m.ID)
--- a/internal/scheduler/planner_test.go
+++ b/internal/scheduler/planner_test.go
@@ -98,6 +98,7 @@
 		WithinGuarantee: rapid.Bool().Draw(t, "guaranteed"),
 		Rank:            float64(rapid.IntRange(0, 3).Draw(t, "rank")),
 		Pending:         tasks,
+		WaitedLong:      rapid.Bool().Draw(t, "waited long"),
 		LiveByZone:      map[string]int{},
 		Avoid:           func(string) bool { return false },
 	}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -79,8 +79,9 @@
 		if c.victim.Priority >= job.Spec.Priority || allowed() >= job.Pending {
 			break
 		}
-		if !p.preempted[c.victim.Ref] && p.feasible(c.machine, job) && p.mayPreempt(job, *c.victim) {
-			p.preemptVictim(&p.snapshot.Machines[c.machine], *c.victim, jobIndex)
+		m := &p.snapshot.Machines[c.machine]
+		if !p.preempted[c.victim.Ref] && !m.Slow && p.feasible(c.machine, job) && p.mayPreempt(job, *c.victim) {
+			p.preemptVictim(m, *c.victim, jobIndex)
 		}
 	}
 	return allowed()
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -118,6 +118,7 @@
 		MissesDeadline:    in.Late,
 		Rank:              sc.Policy.Rank(in),
 		Starved:           sc.starved(job) && len(job.LiveAttempts) == 0,
+		WaitedLong:        now-job.WaitingSince() >= longWait,
 		Avoid: func(machine string) bool {
 			return job.FailedMachines.Avoided(machine, now) || !job.CanRecordMachine(machine)
 		},
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -66,6 +66,7 @@
 	MissesDeadline    bool           // expected to miss every deadline
 	AwaitsCompletions bool           // waits for running tasks to complete before preempting any
 	Starved           bool           // has waited too long for its first task to start
+	WaitedLong        bool           // its pending tasks have waited for longWait
 	Rank              float64        // by the policy; lower ranks come first
 	SubmittedAt       int64          // time of day in microseconds; breaks ties, earlier first
 	Pending           int            // tasks to be placed
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -10,6 +10,10 @@
 // half of the four minutes within which every job is to start.
 const starvationAge = 120 * units.Second
 
+// longWait is the time after which a job takes machines that it would rather not, if no other has
+// room: no job is to wait for 90 s beside a machine that fits.
+const longWait = 30 * units.Second
+
 // starved reports whether a job was submitted more than starvationAge ago and has no task done.
 // A gang is never starved, nor is a service that has started. Live attempts are not considered.
 func (sc *Scheduler) starved(job *cluster.Job) bool {
