A job that needs a machine whole gets its headroom after a long wait

What users saw: nothing yet; found by reading what the scheduler keeps from jobs. Headroom for replicas is reserved on up to two machines of a zone. A job that needs such a machine whole, the only one that fits it, waited beside it until it was starved after 120 s, where 90 s are allowed.

Measured: TestJobThatNeedsMachineWholeGetsTheHeadroom fails on the previous commit ("not within 1m30s") and passes now.

--- a/internal/autoscaler/waiting_test.go
+++ b/internal/autoscaler/waiting_test.go
@@ -69,3 +69,23 @@
 	}
 }
 
+// A job that needs a machine whole waited for two minutes beside an empty machine on which headroom
+// was reserved for replicas.
+func TestJobThatNeedsMachineWholeGetsTheHeadroom(t *testing.T) {
+	f := newSimulatedFleet(t, 200, map[Offering]int{})
+	for range 4 {
+		f.addMachine(Offering{"large", "b", false})
+	}
+	f.addMachine(Offering{"small", "a", false})
+	urgent := service("j-000009", 1, 1)
+	urgent.Priority, urgent.Zone = protocol.Production, "b"
+	f.submit(urgent, 0)
+	anyZone := service("j-000008", 1, 1)
+	anyZone.Priority = protocol.Production
+	f.submit(anyZone, 0)
+	f.run(5 * units.Second)
+	spec := boundTo(protocol.Array)
+	spec.Request = fake.CPUs(4)
+	job := f.submit(spec, 5*units.Second)
+	f.runUntil(maxWait, "the job is done", job.Complete)
+}
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -77,10 +77,15 @@
 }
 
 // freeFor returns the free capacity of a machine that a job may use. Only services and starved
-// jobs may use the headroom.
+// jobs may use the headroom, and after a long wait also a job whose tasks need the machine whole.
 func (m *MachineView) freeFor(job *JobView) units.Resources {
-	if job.Spec.Kind == protocol.Service || job.Starved {
+	if job.Spec.Kind == protocol.Service || job.Starved || job.WaitedLong && m.neededWholeBy(job) {
 		return m.Free
 	}
 	return m.Free.Plus(m.Headroom, -1)
 }
+
+// neededWholeBy reports whether a task of the job never fits on the machine beside the headroom.
+func (m *MachineView) neededWholeBy(job *JobView) bool {
+	return m.Capacity.Plus(m.Headroom, -1).CountFitting(job.Spec.Request) == 0
+}
