A gang is placed in any zone that has room for all its tasks

What users saw: nothing yet; found by reading where the check for room and the scheduler could differ. A gang whose tasks have to be in one zone was tried only in the zone of the best candidate, mostly the machine with the most free capacity. If that zone had too little room for all tasks, the gang never started, and with machines ordered for tasks without room more would have been rented for it each time.

Change: the zones of all candidates are tried, that of the best one first.

Measured: TestGangIsPlacedInTheZoneThatHasRoom and TestMachinesAreRentedOnceForGang fail on the previous commit ("not within 1m30s") and pass now.

--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -59,7 +59,7 @@
 // specifies. It is zero or negative if the zone is not allowed or already has its share of the
 // tasks.
 func tasksWithinZone(job *JobView, zone string) int {
-	if job.Spec.Zone != "" && job.Spec.Zone != zone {
+	if job.Spec.Zone != "" && job.Spec.Zone != zone || job.onlyZone != "" && job.onlyZone != zone {
 		return 0
 	}
 	allowed := job.Spec.Tasks
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -58,15 +58,36 @@
 	if job.LiveTasks > 0 || p.tasksWithinQuota(job) < job.Pending {
 		return
 	}
-	before := p.savepoint(job)
-	// A gang may exceed the cycle's limit: one larger than the limit would never start.
-	p.placementsLeft = max(p.placementsLeft, job.Pending)
-	p.place(jobIndex, job)
-	if job.Pending > 0 {
+	for _, zone := range p.gangZones(job) {
+		before := p.savepoint(job)
+		// A gang may exceed the cycle's limit: one larger than the limit would never start.
+		p.placementsLeft = max(p.placementsLeft, job.Pending)
+		job.onlyZone = zone
+		p.place(jobIndex, job)
+		job.onlyZone = ""
+		if job.Pending == 0 {
+			return
+		}
 		p.rollback(job, before)
 	}
 }
 
+// gangZones returns the zones in which to try to place a gang, that of the best candidate first. A
+// zone of "" stands for all zones together. A gang with zone affinity needs room for all its tasks in
+// one zone, and that of the best candidate may have too little.
+func (p *planner) gangZones(job *JobView) []string {
+	if !job.Spec.ZoneAffinity {
+		return []string{""}
+	}
+	var zones []string
+	for _, c := range p.rankCandidates(job) {
+		if zone := p.snapshot.Machines[c.machine].Zone; !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
 // savepoint is a copy of the part of the planner's state that placing a job's tasks changes.
 type savepoint struct {
 	machines             []MachineView
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -78,4 +78,6 @@
 	// FailedOn reports whether a task of the job has failed on the machine with the given ID. If it
 	// is nil, none has.
 	FailedOn func(machine string) bool
+
+	onlyZone string // the zone to which a gang is limited while Plan tries to place it there; "": none
 }
