Headroom beside services is given up after a long wait, too

Related to: a machine whose services leave room for a task only together with the headroom kept the task waiting until it was starved after 120 s, since the machine as a whole is large enough.

Change: the machine's services count as well when the scheduler decides whether a task ever fits beside the headroom.

Measured: the case "beside services" of TestJobThatNeverFitsBesideHeadroomGetsIt fails without the services in the sum ("not within 1m30s") and passes now.

--- a/internal/autoscaler/waiting_test.go
+++ b/internal/autoscaler/waiting_test.go
@@ -69,23 +69,34 @@
 	}
 }
 
-// A job that needs a machine whole waited for two minutes beside an empty machine on which headroom
-// was reserved for replicas.
-func TestJobThatNeedsMachineWholeGetsTheHeadroom(t *testing.T) {
-	f := newSimulatedFleet(t, 200, map[Offering]int{})
-	for range 4 {
-		f.addMachine(Offering{"large", "b", false})
+// A job that does not fit beside the headroom of a machine and its services waited there for two
+// minutes, until it was starved, though the machine had room.
+func TestJobThatNeverFitsBesideHeadroomGetsIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		offering   Offering
+		heldByJobs int // CPUs that a service holds on the machine that fits
+	}{
+		"whole machine":   {Offering{"small", "a", false}, 0},
+		"beside services": {Offering{"large", "a", false}, 28},
+	} {
+		f := newSimulatedFleet(t, 200, map[Offering]int{})
+		f.addMachine(c.offering)
+		if c.heldByJobs > 0 {
+			holder := service("j-000007", 1, c.heldByJobs)
+			holder.Zone = "a"
+			f.submit(holder, 0)
+			f.run(5 * units.Second)
+		}
+		for range 4 {
+			f.addMachine(Offering{"large", "b", false})
+		}
+		urgent := service("j-000008", 1, 1)
+		urgent.Priority = protocol.Production
+		f.submit(urgent, 0)
+		f.run(5 * units.Second)
+		spec := boundTo(protocol.Array)
+		spec.Request = fake.CPUs(4)
+		job := f.submit(spec, 5*units.Second)
+		f.runUntil(maxWait, name+": the job is done", job.Complete)
 	}
-	f.addMachine(Offering{"small", "a", false})
-	urgent := service("j-000009", 1, 1)
-	urgent.Priority, urgent.Zone = protocol.Production, "b"
-	f.submit(urgent, 0)
-	anyZone := service("j-000008", 1, 1)
-	anyZone.Priority = protocol.Production
-	f.submit(anyZone, 0)
-	f.run(5 * units.Second)
-	spec := boundTo(protocol.Array)
-	spec.Request = fake.CPUs(4)
-	job := f.submit(spec, 5*units.Second)
-	f.runUntil(maxWait, "the job is done", job.Complete)
 }
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -77,15 +77,16 @@
 }
 
 // freeFor returns the free capacity of a machine that a job may use. Only services and starved
-// jobs may use the headroom, and after a long wait also a job whose tasks need the machine whole.
+// jobs may use the headroom, and after a long wait also a job whose tasks never fit beside it.
 func (m *MachineView) freeFor(job *JobView) units.Resources {
-	if job.Spec.Kind == protocol.Service || job.Starved || job.WaitedLong && m.neededWholeBy(job) {
+	if job.Spec.Kind == protocol.Service || job.Starved || job.WaitedLong && m.neverFitsBesideHeadroom(job) {
 		return m.Free
 	}
 	return m.Free.Plus(m.Headroom, -1)
 }
 
-// neededWholeBy reports whether a task of the job never fits on the machine beside the headroom.
-func (m *MachineView) neededWholeBy(job *JobView) bool {
-	return m.Capacity.Plus(m.Headroom, -1).CountFitting(job.Spec.Request) == 0
+// neverFitsBesideHeadroom reports whether a task of the job does not fit on the machine beside the
+// headroom, even when all tasks there that complete have done so.
+func (m *MachineView) neverFitsBesideHeadroom(job *JobView) bool {
+	return m.Capacity.Plus(m.Services, -1).Plus(m.Headroom, -1).CountFitting(job.Spec.Request) == 0
 }
--- a/internal/scheduler/unplaceable.go
+++ b/internal/scheduler/unplaceable.go
@@ -88,6 +88,7 @@
 			Slow:         m.Slow,
 			Capacity:     m.Capacity,
 			Free:         free,
+			Services:     m.Services,
 			Headroom:     sc.headroom[m],
 			HasImage:     m.HasImage,
 		})
