Machines for a gang are rented for all of its tasks or not at all

What users saw: nothing yet; found by the random test with gangs. For a gang that the cloud could not serve in full, machines for a part of it were rented, returned when they had been idle and rented again, without end.

Cause: the check for room claimed machines only for gangs that fit as a whole, and the plan ordered for each of their tasks by itself.

Change: machines with room for a part of a waiting gang are kept. The plan orders the machines that are missing in the zone with room for most of the tasks, else those for the whole gang in another zone, and nothing if not all tasks get room.

--- a/internal/autoscaler/harness_fleet_test.go
+++ b/internal/autoscaler/harness_fleet_test.go
@@ -117,6 +117,37 @@
 	f.as.provisioning.listReadAt = f.clock.Now
 }
 
+// changeLeader replaces the leader by a new one that has restored the unfinished jobs. It learns of the
+// machines and their tasks from the list and the first heartbeats, which come at once.
+func (f *simulatedFleet) changeLeader() {
+	former := f.as
+	f.elect(former.Token+1, former.Settings)
+	for _, m := range former.State.SortedMachines() {
+		f.as.State.EnsureMachine(m.ID, m.InstanceType, m.Zone, m.Spot, f.clock.Now).LaunchedAt = m.LaunchedAt
+	}
+	for _, job := range former.State.JobsBySubmission() {
+		f.restore(job)
+	}
+	f.commitWrites()
+}
+
+// restore adds a former leader's job and the attempts that are on machines which are not lost.
+func (f *simulatedFleet) restore(former *cluster.Job) {
+	job := f.as.State.NewJob(former.Spec, former.Submitted, f.clock.Now)
+	f.commitWrites()
+	for task := range former.Spec.Tasks {
+		if former.IsDone(task) {
+			f.as.State.TaskDone(job, task, f.clock.Now)
+		}
+	}
+	for attempt := range former.LiveAttempts.All() {
+		if !f.lost[attempt.Machine.ID] {
+			adopted := f.as.State.Adopt(job, attempt.Index, attempt.Number, f.as.State.Machines[attempt.Machine.ID], f.clock.Now)
+			adopted.Stage, adopted.RunningSince, job.Started = cluster.Running, f.clock.Now, true
+		}
+	}
+}
+
 // addMachine adds a machine that is up, and returns its ID.
 func (f *simulatedFleet) addMachine(offering Offering) string {
 	id := machineID(len(f.bootedAt))
--- a/internal/autoscaler/planroom.go
+++ b/internal/autoscaler/planroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"dunestand/internal/protocol"
 	"dunestand/internal/scheduler"
@@ -63,17 +64,42 @@
 	}
 	machines := p.orderedMachines()
 	quotaLeft := maps.Clone(p.view.QuotaLeft)
+	foundRoom := false // for all tasks of the preceding element
 	for i := range p.view.Unplaceable {
 		tasks := &p.view.Unplaceable[i]
-		request := tasks.Spec.Request
-		wanted := min(tasks.Count, quotaLeft[tasks.Spec.Team].CountFitting(request))
-		if tasks.Spec.Kind == protocol.Gang && wanted < tasks.Count {
-			continue // a gang starts only as a whole
+		if tasks.Fallback && foundRoom {
+			continue
 		}
+		request, team := tasks.Spec.Request, tasks.Spec.Team
+		wanted := min(tasks.Count, quotaLeft[team].CountFitting(request))
 		search := &roomSearch{tasks: tasks, left: wanted, inZone: map[string]int{}}
-		machines = p.findRoom(search, machines)
-		quotaLeft[tasks.Spec.Team] = quotaLeft[tasks.Spec.Team].Plus(request, search.left-wanted)
+		if tasks.Spec.Kind == protocol.Gang {
+			machines = p.findRoomForGang(search, machines)
+		} else {
+			machines = p.findRoom(search, machines)
+		}
+		quotaLeft[team] = quotaLeft[team].Plus(request, search.left-wanted)
+		foundRoom = search.left == 0
+	}
+}
+
+// findRoomForGang is findRoom for a gang, which starts only as a whole: it orders nothing unless all
+// tasks get room.
+func (p *scaleOutPlan) findRoomForGang(search *roomSearch, machines []orderedMachine) []orderedMachine {
+	before := *p
+	before.orders, before.orderedFor = maps.Clone(p.orders), maps.Clone(p.orderedFor)
+	unchanged := slices.Clone(machines)
+	wanted := search.left
+	if wanted < search.tasks.Count {
+		return machines
+	}
+	machines = p.findRoom(search, machines)
+	if search.left == 0 {
+		return machines
 	}
+	p.orders, p.orderedFor, p.totalCPU = before.orders, before.orderedFor, before.totalCPU
+	search.left = wanted
+	return unchanged
 }
 
 // findRoom promises the capacity of ordered machines to the tasks of a search, and orders machines for
--- a/internal/autoscaler/room.go
+++ b/internal/autoscaler/room.go
@@ -48,7 +48,9 @@
 func (as *Autoscaler) TasksWithoutRoom(now units.Micros) int {
 	count := 0
 	for _, tasks := range as.checkRoom(now).Unplaceable {
-		count += tasks.Count
+		if !tasks.Fallback {
+			count += tasks.Count
+		}
 	}
 	return count
 }
--- a/internal/scheduler/unplaceable.go
+++ b/internal/scheduler/unplaceable.go
@@ -13,6 +13,9 @@
 	Spec         *protocol.JobSpec
 	Count        int
 	WaitingSince units.Micros // steady time, see cluster.Job.WaitingSince
+	// Fallback is set for all tasks of a gang, wherever they fit together. They take the place of the
+	// preceding element, the tasks of the gang that have no room in the zone with room for the others.
+	Fallback bool
 
 	view JobView // with the tasks that do have room counted as live
 }
@@ -48,25 +51,25 @@
 		return check
 	}
 	sc.snapshotRoom(&snapshot, provides)
-	p := newPlanner(&snapshot)
+	p := roomPlanner{planner: newPlanner(&snapshot)}
 	for i, job := range jobs {
 		view := &snapshot.Jobs[i]
 		if snapshot.Teams[view.Team].Blocked {
 			continue
 		}
-		if tasks := p.claimRoom(i, view); tasks > 0 && now >= job.RetryAt && job.CanRecordNewMachine() {
-			check.Unplaceable = append(check.Unplaceable, UnplaceableTasks{
-				Spec:         &job.Spec,
-				Count:        tasks,
-				WaitingSince: job.WaitingSince(),
-				view:         *view,
-			})
+		unplaceable := p.claimRoom(i, view)
+		if now < job.RetryAt || !job.CanRecordNewMachine() {
+			continue
+		}
+		for _, tasks := range unplaceable {
+			tasks.WaitingSince = job.WaitingSince()
+			check.Unplaceable = append(check.Unplaceable, tasks)
 		}
 	}
 	for name, i := range teams {
 		check.QuotaLeft[name] = snapshot.Teams[i].QuotaLimit.Plus(snapshot.Teams[i].Used, -1)
 	}
-	for _, placement := range p.decisions.Placements {
+	for _, placement := range append(p.partialGangs, p.decisions.Placements...) {
 		check.Claimed[snapshot.Machines[placement.Machine].ID] = true
 	}
 	return check
@@ -114,23 +117,70 @@
 	return jobs
 }
 
-// claimRoom places a job's tasks on the machines that have room for them, and returns the number of
-// those left that the team's quota limit allows.
-func (p *planner) claimRoom(jobIndex int, job *JobView) int {
+// roomPlanner is the planner of CheckRoom.
+type roomPlanner struct {
+	*planner
+	partialGangs []Placement // of gangs that do not fit as a whole
+}
+
+// claimRoom places a job's tasks on the machines that have room for them, and returns those left that
+// the team's quota limit allows.
+func (p *roomPlanner) claimRoom(jobIndex int, job *JobView) []UnplaceableTasks {
 	if job.Spec.Kind == protocol.Gang {
-		p.placeGang(jobIndex, job)
-	} else {
-		p.placeInOrder(jobIndex, job)
+		return p.claimGangRoom(jobIndex, job)
 	}
+	p.placeInOrder(jobIndex, job)
 	if job.Pending == 0 {
-		return 0
+		return nil
 	}
 	p.blockFullTeam(job)
-	left := min(job.Pending, p.tasksWithinQuota(job))
-	if job.Spec.Kind == protocol.Gang && left < job.Pending {
-		return 0 // a gang starts only as a whole
+	return unplaceable(job, min(job.Pending, p.tasksWithinQuota(job)))
+}
+
+// unplaceable returns a number of a job's tasks as the unplaceable ones.
+func unplaceable(job *JobView, tasks int) []UnplaceableTasks {
+	if tasks <= 0 {
+		return nil
+	}
+	return []UnplaceableTasks{{Spec: job.Spec, Count: tasks, view: *job}}
+}
+
+// claimGangRoom is claimRoom for a gang. If the gang does not fit, the room for a part of it is claimed
+// nevertheless, since it starts once machines for the other tasks have been added.
+func (p *roomPlanner) claimGangRoom(jobIndex int, job *JobView) []UnplaceableTasks {
+	p.placeGang(jobIndex, job)
+	switch {
+	case job.Pending == 0, p.tasksWithinQuota(job) < job.Pending:
+		return nil
+	case job.Spec.ZoneAffinity:
+		return p.unplaceableInZone(jobIndex, job)
+	}
+	p.placeInOrder(jobIndex, job)
+	return unplaceable(job, job.Pending)
+}
+
+// unplaceableInZone returns the tasks of a gang with zone affinity that have no room in the zone with
+// room for most of its tasks, and all its tasks as the fallback. In every zone it claims the machines
+// with room for a part of the gang.
+func (p *roomPlanner) unplaceableInZone(jobIndex int, job *JobView) []UnplaceableTasks {
+	all := unplaceable(job, job.Pending)
+	best := all
+	for _, zone := range p.gangZones(job) {
+		before := p.savepoint(job)
+		job.onlyZone = zone
+		p.placeInOrder(jobIndex, job)
+		if job.Pending < best[0].Count {
+			best = unplaceable(job, job.Pending)
+		}
+		p.partialGangs = append(p.partialGangs, p.decisions.Placements[before.placements:]...)
+		job.onlyZone = ""
+		p.rollback(job, before)
+	}
+	if best[0].Count == job.Pending {
+		return all
 	}
-	return left
+	all[0].Fallback = true
+	return append(best, all...)
 }
 
 // placeInOrder places a job's tasks on the machines in the order of the snapshot, which is cheaper
