Running machines count for a new leader until workers have found it

Change: the time is Detector.LeaderSearchTime, some seconds, and no longer a worker's lease. A machine that has not spoken by then is probably gone, and in a fleet that lost many machines at once its replacement would have waited for the lease.

--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -96,6 +96,6 @@
 	}
 	bootGrace := bootGraceFactor*as.bootTime(m) + bootGraceMargin
 	booting := now-m.LaunchedAt <= bootGrace
-	searching := m.Stage == protocol.MachineRunning && now-as.ElectedAt <= as.Detector.WorkerLease()
+	searching := m.Stage == protocol.MachineRunning && now-as.ElectedAt <= as.Detector.LeaderSearchTime()
 	return m.Registered || booting || searching
 }
--- a/internal/failuredetector/lostmachines.go
+++ b/internal/failuredetector/lostmachines.go
@@ -63,7 +63,7 @@
 	}
 	survey := d.surveyHeartbeats(now)
 	d.maxUnreachablePeers = max(d.maxUnreachablePeers, d.UnreachablePeers())
-	if now-d.ElectedAt > d.leaderSearchTime() {
+	if now-d.ElectedAt > d.LeaderSearchTime() {
 		d.addUnreconciled(survey)
 	}
 	for id := range survey.lost {
@@ -104,9 +104,9 @@
 	return survey
 }
 
-// leaderSearchTime returns the time after the election within which a worker may still be searching
+// LeaderSearchTime returns the time after the election within which a worker may still be searching
 // for this leader.
-func (d *Detector) leaderSearchTime() units.Micros {
+func (d *Detector) LeaderSearchTime() units.Micros {
 	return leaderSearchStart + d.maxHeartbeatInterval() + leaderSearchPerController*units.Micros(d.maxUnreachablePeers)
 }
 
