A machine that hears no response counts as room for nothing; cheaper check

What users would see: after a change of the leader, a machine whose heartbeats arrive and which hears no response is not given work, since it never shows the new token, but waiting tasks counted on its room, and no machine was rented for them.

Change: such a machine counts as room only until it could have booted. The check for room keeps an index behind the full machines, reserves the space for its views and makes no closure for each machine.

Measured: TestDeafMachineIsNoRoom fails without the condition ("not within 3m0s") and passes now.

--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -70,6 +70,11 @@
 	bootGraceMargin = 10 * units.Second
 )
 
+// bootGrace returns the time after its launch for which a machine may still be booting.
+func (as *Autoscaler) bootGrace(m *cluster.Machine) units.Micros {
+	return bootGraceFactor*as.bootTime(m) + bootGraceMargin
+}
+
 // capacityView returns the input of PlanScaleOut without Unavailable, which the caller sets.
 func (as *Autoscaler) capacityView(in config.FleetInput) CapacityView {
 	view := CapacityView{
@@ -94,8 +99,7 @@
 	if m.Releasing || m.Quarantined || m.TerminatesAt > 0 {
 		return false
 	}
-	bootGrace := bootGraceFactor*as.bootTime(m) + bootGraceMargin
-	booting := now-m.LaunchedAt <= bootGrace
+	booting := now-m.LaunchedAt <= as.bootGrace(m)
 	searching := m.Stage == protocol.MachineRunning && now-as.ElectedAt <= as.Detector.LeaderSearchTime()
 	return m.Registered || booting || searching
 }
--- a/internal/autoscaler/harness_fleet_test.go
+++ b/internal/autoscaler/harness_fleet_test.go
@@ -39,6 +39,7 @@
 	rented   int              // machines rented so far
 	bootedAt map[string]units.Micros
 	lost     map[string]bool // machines that send no heartbeats any more
+	deaf     map[string]bool // machines whose heartbeats arrive and that hear no response
 	faulty   map[string]bool // machines on which every task fails
 	failing  map[string]bool // jobs whose tasks fail on every machine
 	runTimes map[string]units.Micros
@@ -54,6 +55,7 @@
 		offered:  offered,
 		bootedAt: map[string]units.Micros{},
 		lost:     map[string]bool{},
+		deaf:     map[string]bool{},
 		faulty:   map[string]bool{},
 		failing:  map[string]bool{},
 		runTimes: map[string]units.Micros{},
@@ -201,7 +203,10 @@
 	now := f.clock.Now
 	for _, m := range slices.Clone(f.as.State.SortedMachines()) {
 		if bootedAt, known := f.bootedAt[m.ID]; known && now >= bootedAt && !f.lost[m.ID] {
-			m.Registered, m.FencingToken, m.LastHeartbeat = true, f.as.Token, now
+			m.Registered, m.LastHeartbeat = true, now
+			if !f.deaf[m.ID] {
+				m.FencingToken = f.as.Token
+			}
 			m.Stage = protocol.MachineRunning
 			f.runTasks(m)
 		}
--- a/internal/autoscaler/room.go
+++ b/internal/autoscaler/room.go
@@ -26,12 +26,13 @@
 	return as.Scheduler.CheckRoom(now, func(m *cluster.Machine) bool { return as.providesRoom(m, now) })
 }
 
-// providesRoom reports whether waiting tasks may count on the free capacity of a machine. On a machine
-// that has been silent for its lease nothing is placed, and it may be kept for minutes if its zone may
-// be partitioned. The same holds for a machine that ignores commands.
+// providesRoom reports whether waiting tasks may count on the free capacity of a machine. Nothing is
+// placed on a machine that has been silent for its lease, that ignores commands, or that hears no
+// response and so does not show the leader's token. Such a machine may be kept for minutes.
 func (as *Autoscaler) providesRoom(m *cluster.Machine, now units.Micros) bool {
 	silent := m.Registered && now-max(m.LastHeartbeat, as.ElectedAt) > as.Detector.WorkerLease()
-	return as.countsAsCapacity(m, now) && !silent && !m.IgnoresCommands()
+	deaf := m.FencingToken != as.Token && now-max(m.LaunchedAt, as.ElectedAt) > as.bootGrace(m)
+	return as.countsAsCapacity(m, now) && !silent && !deaf && !m.IgnoresCommands()
 }
 
 // addOverdueTasks adds to a view the tasks for which machines are to be ordered because they have
--- a/internal/autoscaler/room_test.go
+++ b/internal/autoscaler/room_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// A machine that hears no response of a new leader counts as room for nothing: it gets no starts.
+func TestDeafMachineIsNoRoom(t *testing.T) {
+	f := newSimulatedFleet(t, 100, map[Offering]int{{"small", "a", false}: 1})
+	f.deaf[f.addMachine(Offering{"small", "a", false})] = true
+	job := f.submit(service("j-000001", 1, 4), 0)
+	f.runUntil(2*maxWait, "the replica runs", func() bool { return f.running(job) == 1 })
+	f.run(maxWait)
+	if f.rented != 1 {
+		t.Errorf("%d machines rented, want 1", f.rented)
+	}
+}
+
 // A task for which the cloud has no machine took the team's quota from a job that could have had one.
 func TestTaskThatNoOfferingSuitsTakesNoQuota(t *testing.T) {
 	f := newSimulatedFleet(t, 6, map[Offering]int{{"small", "b", false}: 1})
--- a/internal/scheduler/unplaceable.go
+++ b/internal/scheduler/unplaceable.go
@@ -77,7 +77,9 @@
 
 // snapshotRoom adds the machines that provide capacity and have some of it free.
 func (sc *Scheduler) snapshotRoom(snapshot *Snapshot, provides func(m *cluster.Machine) bool) {
-	for _, m := range sc.State.SortedMachines() {
+	machines := sc.State.SortedMachines()
+	snapshot.Machines = make([]MachineView, 0, len(machines))
+	for _, m := range machines {
 		free := m.Free().Plus(m.Freeing, 1)
 		if free.CPU <= 0 || !provides(m) {
 			continue
@@ -93,11 +95,14 @@
 			Free:         free,
 			Services:     m.Services,
 			Headroom:     sc.headroom[m],
-			HasImage:     m.HasImage,
+			HasImage:     noImage,
 		})
 	}
 }
 
+// noImage stands for HasImage where only room matters.
+func noImage(string) bool { return false }
+
 // snapshotWaiting adds the jobs that wait for placement, also those that are retried later, and
 // returns them in the order of their views. Jobs with unreconciled machines are left out: their
 // tasks may be running there. So are gangs with live tasks, which have to end first.
@@ -121,6 +126,7 @@
 type roomPlanner struct {
 	*planner
 	partialGangs []Placement // of gangs that do not fit as a whole
+	firstFree    int         // the machines before this index have no CPUs left
 }
 
 // claimRoom places a job's tasks on the machines that have room for them, and returns those left that
@@ -129,6 +135,7 @@
 	if job.Spec.Kind == protocol.Gang {
 		return p.claimGangRoom(jobIndex, job)
 	}
+	p.skipFullMachines()
 	p.placeInOrder(jobIndex, job)
 	if job.Pending == 0 {
 		return nil
@@ -137,6 +144,13 @@
 	return unplaceable(job, min(job.Pending, p.tasksWithinQuota(job)))
 }
 
+// skipFullMachines advances firstFree.
+func (p *roomPlanner) skipFullMachines() {
+	for p.firstFree < len(p.snapshot.Machines) && p.snapshot.Machines[p.firstFree].Free.CPU <= 0 {
+		p.firstFree++
+	}
+}
+
 // unplaceable returns a number of a job's tasks as the unplaceable ones.
 func unplaceable(job *JobView, tasks int) []UnplaceableTasks {
 	if tasks <= 0 {
@@ -185,12 +199,10 @@
 
 // placeInOrder places a job's tasks on the machines in the order of the snapshot, which is cheaper
 // than to rank them.
-func (p *planner) placeInOrder(jobIndex int, job *JobView) {
-	for machine := range p.snapshot.Machines {
-		if p.placeableTasks(job) <= 0 {
-			return
-		}
-		if p.snapshot.Machines[machine].freeFor(job).CountFitting(job.Spec.Request) == 0 || !p.feasible(machine, job) {
+func (p *roomPlanner) placeInOrder(jobIndex int, job *JobView) {
+	machines := p.snapshot.Machines
+	for machine := p.firstFree; machine < len(machines) && p.placeableTasks(job) > 0; machine++ {
+		if machines[machine].freeFor(job).CountFitting(job.Spec.Request) == 0 || !p.feasible(machine, job) {
 			continue
 		}
 		if n := p.placeableOn(job, machine); n > 0 {
