--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -4,6 +4,8 @@
 //
 //   - demand.go computes the demand for capacity, plan.go chooses machines to order for it,
 //     offering.go compares the offerings by price, and scaleout.go sends the requests.
+//   - room.go finds the waiting tasks that have no room on any single machine, and planroom.go
+//     orders machines for them.
 //   - scalein.go decides when a machine is released, and idle.go finds idle machines.
 //   - machinelist.go and catalog.go read the cloud's machine list and catalog.
 package autoscaler
--- a/internal/scheduler/onemachine.go
+++ b/internal/scheduler/onemachine.go
@@ -58,12 +58,10 @@
 		if snapshot.Machines[0].Free.CountFitting(job.Spec.Request) == 0 && m.Freeing == (units.Resources{}) || !jobSchedulable(job, now) {
 			continue
 		}
-		view := queued.view
-		if view.Starved && len(job.LiveAttempts) > 0 {
+		if queued.view.Starved && len(job.LiveAttempts) > 0 {
 			continue // no longer starved; the next cycle determines its new order
 		}
-		view.Pending, view.LiveTasks, view.Team = job.Pending(), len(job.LiveAttempts), teams[job.Spec.Team]
-		countLiveTasks(&view, job)
+		view := queued.currentView(teams)
 		if view.LiveByMachine != nil {
 			continue // spreading replicas needs a snapshot of all machines
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,7 +14,7 @@
 //   - apply.go applies the decisions to the state.
 //
 // Between two cycles, onemachine.go plans for a single machine while its heartbeat is being
-// handled.
+// handled. For the autoscaler, unplaceable.go finds the waiting tasks that no machine has room for.
 package scheduler
 
 import (
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -24,6 +24,15 @@
 	view JobView
 }
 
+// currentView returns the job's view of the last cycle with its present tasks. teams holds the teams'
+// indexes in the present snapshot, by name.
+func (q *queuedJob) currentView(teams map[string]int) JobView {
+	view, job := q.view, q.job
+	view.Pending, view.LiveTasks, view.Team = job.Pending(), len(job.LiveAttempts), teams[job.Spec.Team]
+	countLiveTasks(&view, job)
+	return view
+}
+
 // TakeSnapshot returns a snapshot of the state that a cycle's decisions depend on. heartbeatFrom
 // is the machine whose heartbeat is being handled, nil if there is none. TakeSnapshot also
 // updates the queue and the headroom, and evicts tasks from machines that are about to
--- a/internal/scheduler/unplaceable.go
+++ b/internal/scheduler/unplaceable.go
@@ -113,10 +113,7 @@
 		if !jobSchedulable(job, max(now, job.RetryAt)) || job.Spec.Kind == protocol.Gang && len(job.LiveAttempts) > 0 {
 			continue
 		}
-		view := queued.view
-		view.Pending, view.LiveTasks, view.Team = job.Pending(), len(job.LiveAttempts), teams[job.Spec.Team]
-		countLiveTasks(&view, job)
-		snapshot.Jobs = append(snapshot.Jobs, view)
+		snapshot.Jobs = append(snapshot.Jobs, queued.currentView(teams))
 		jobs = append(jobs, job)
 	}
 	return jobs
