Replicas that are to be stopped do not count as held for good

Change: Usage.Services leaves out the replicas that are to be stopped, since what they hold is about to be freed.

--- a/internal/cluster/usage.go
+++ b/internal/cluster/usage.go
@@ -15,18 +15,21 @@
 
 // Usage is the sum of the resource requests of the live attempts on a machine or of a team.
 type Usage struct {
-	Used     units.Resources
-	Freeing  units.Resources // the part of Used whose attempts are to be stopped
-	Services units.Resources // the part of Used of replicas of services, which do not complete
+	Used    units.Resources
+	Freeing units.Resources // the part of Used whose attempts are to be stopped
+	// Services is the part of Used that is not freed by itself: of replicas of services, which do not
+	// complete, unless they are to be stopped.
+	Services units.Resources
 }
 
-// add adds the request of an attempt's job, multiplied by used and freeing, to Used and Freeing.
+// add adds the request of an attempt's job, multiplied by used and freeing, to Used and Freeing, and
+// adjusts Services.
 func (u *Usage) add(job *Job, used, freeing int) {
 	request := job.Spec.Request
 	u.Used = u.Used.Plus(request, used)
 	u.Freeing = u.Freeing.Plus(request, freeing)
 	if job.IsService() {
-		u.Services = u.Services.Plus(request, used)
+		u.Services = u.Services.Plus(request, used-freeing)
 	}
 }
 
