--- a/internal/controller/feasibility.go
+++ b/internal/controller/feasibility.go
@@ -23,7 +23,7 @@
 var (
 	errUnknownTeam          = &rejectionError{http.StatusUnprocessableEntity, "crew: unknown team"}
 	errTaskOverQuota        = &rejectionError{http.StatusUnprocessableEntity, "a task needs more than the team's limit"}
-	errServiceOverQuota     = &rejectionError{http.StatusUnprocessableEntity, "a service's tasks together need more than the team's limit"}
+	errJobOverQuota         = &rejectionError{http.StatusUnprocessableEntity, "the job's tasks together need more than the team's limit"}
 	errNoInstanceType       = &rejectionError{http.StatusUnprocessableEntity, "a task fits no allowed machine type"}
 	errSpecTooLong          = &rejectionError{http.StatusUnprocessableEntity, "the job's texts are too long to be kept"}
 	errTooManyJobs          = &rejectionError{http.StatusTooManyRequests, "too many unfinished jobs"}
@@ -59,8 +59,8 @@
 	switch tasks := cluster.QuotaLimitOf(s.Fleet.Teams[i]).CountFitting(spec.Request); {
 	case tasks == 0:
 		return errTaskOverQuota
-	case spec.Kind == protocol.Service && tasks < spec.Tasks:
-		return errServiceOverQuota
+	case spec.Kind != protocol.Array && tasks < spec.Tasks:
+		return errJobOverQuota
 	}
 	switch {
 	case len(types) == 0:
--- a/internal/controller/format_test.go
+++ b/internal/controller/format_test.go
@@ -64,9 +64,9 @@
 		status int // 0: accepted
 	}{
 		{storage.FormatV1, modelQuotaCPUs, errNotUpgraded, http.StatusServiceUnavailable},
-		{storage.FormatV1, modelQuotaCPUs + 1, errServiceOverQuota, http.StatusUnprocessableEntity},
+		{storage.FormatV1, modelQuotaCPUs + 1, errJobOverQuota, http.StatusUnprocessableEntity},
 		{storage.FormatV2, modelQuotaCPUs, nil, 0},
-		{storage.FormatV2, modelQuotaCPUs + 1, errServiceOverQuota, http.StatusUnprocessableEntity},
+		{storage.FormatV2, modelQuotaCPUs + 1, errJobOverQuota, http.StatusUnprocessableEntity},
 	} {
 		leader.setFormat(c.format)
 		service.Tasks = c.tasks
@@ -76,6 +76,21 @@
 	}
 }
 
+// A gang that needs more than its team's limit can never start, and is rejected for good. Only the tasks
+// of an array run one after the other.
+func TestGangOverQuotaIsRejected(t *testing.T) {
+	leader := newTestLeader(1, &fake.Clock{})
+	leader.state.SetInstanceTypes(modelCatalog.Types)
+	spec := *fake.JobSpec(testJob)
+	spec.Tasks = modelQuotaCPUs + 1
+	for kind, want := range map[protocol.JobKind]*rejectionError{protocol.Array: nil, protocol.Gang: errJobOverQuota} {
+		spec.Kind = kind
+		if got := leader.checkAdmissible(&spec); got != want {
+			t.Errorf("kind %v: %v, want %v", kind, got, want)
+		}
+	}
+}
+
 // The key-value store lowers its limits during a run, and the record format is upgraded later. Every
 // job is accepted, a large job that was stored before is split into several records, and no write
 // batch is retried unchanged forever.
