Tasks of the own team are stopped only if the urgent job fits then

What users would see: a service that does not fit into the quota limit beside the team's other services stopped a smaller task of its team as soon as it had been started, for good.

Cause: preemptWithinTeam took all tasks of lower priority until the job fitted or none was left, and kept its choice when the job did not fit even then.

Change: as on single machines, victims are taken only once they let one more task fit.

--- a/internal/autoscaler/room_property_test.go
+++ b/internal/autoscaler/room_property_test.go
@@ -22,7 +22,9 @@
 	// settleTime is long enough after the last trouble for the lease of a lost machine to expire, for
 	// a machine to boot, and for the users' 90 s.
 	settleTime = 240 * units.Second
-	// quietTime is how long no machine may be rented after that.
+	// workTime is more than all tasks of the drawn jobs take one after the other.
+	workTime = maxDrawnJobs * 5 * 70 * units.Second
+	// quietTime is how long no machine may be rented after that and after the last task's end.
 	quietTime = 300 * units.Second
 )
 
@@ -44,7 +46,8 @@
 	return f
 }
 
-// submitDrawn submits a random job. Services are seldom so large that the rest gets no quota.
+// submitDrawn submits a random job, unless it is a service or a gang that needs more than the team's
+// limit: such a submission is rejected.
 func (f *simulatedFleet) submitDrawn(t *rapid.T, number int) {
 	spec := protocol.JobSpec{
 		ID:            fmt.Sprintf("j-%06d", number),
@@ -60,7 +63,10 @@
 		spec.ZoneSpread = rapid.Bool().Draw(t, "spread")
 		spec.ZoneAffinity = !spec.ZoneSpread && rapid.Bool().Draw(t, "affinity")
 	}
-	f.submit(spec, units.Seconds(float64(rapid.IntRange(5, 60).Draw(t, "run time"))))
+	runTime := units.Seconds(float64(rapid.IntRange(5, 60).Draw(t, "run time")))
+	if spec.Kind == protocol.Array || f.as.State.Teams["team"].QuotaLimit.CountFitting(spec.Request) >= spec.Tasks {
+		f.submit(spec, runTime)
+	}
 }
 
 // troubleDrawn takes a random machine, makes it silent, has it count as slow or fail all tasks for a
@@ -87,6 +93,16 @@
 	}
 }
 
+// finiteTasksRun reports whether any task runs that is not a service's.
+func (f *simulatedFleet) finiteTasksRun() bool {
+	for _, job := range f.as.State.Jobs {
+		if !job.IsService() && len(job.LiveAttempts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // jobBesideRoom describes a task that has waited for more than maxWait while a machine that fits has
 // room for it or can be rented, and its team is under its limit. It returns "" if there is none. It
 // follows the users' pages and uses none of the scheduler's rules but PlacementAllowed. Gangs are left
@@ -130,7 +146,7 @@
 }
 
 // Once the troubles are over, no job is left waiting for 90 s while a machine that fits has room or
-// can be rented, and the autoscaler stops renting.
+// can be rented. Once no task ends any more, the autoscaler rents nothing.
 func TestNoJobWaitsBesideRoom(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := drawFleet(rt, t)
@@ -142,6 +158,12 @@
 			f.troubleDrawn(rt)
 		}
 		f.run(settleTime)
+		// The end of a task may free quota for others, for which machines are rented.
+		for end := f.clock.Now + workTime; f.finiteTasksRun(); f.step() {
+			if f.clock.Now >= end {
+				rt.Fatalf("tasks still run after %v", workTime.Duration())
+			}
+		}
 		rented := f.rented
 		for end := f.clock.Now + quietTime; f.clock.Now < end; f.step() {
 			if waiting := f.jobBesideRoom(); waiting != "" {
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -142,7 +142,7 @@
 			Count:        order.Count,
 		}
 		if len(order.For) > 0 {
-			as.Log.Info("waiting tasks have no room", "request", request.RequestID, "jobs", order.For)
+			as.Log.Info("waiting tasks have no room", "request", request.RequestID, "first_job", order.For[0], "jobs", len(order.For))
 		}
 		requests = append(requests, request)
 	}
--- a/internal/autoscaler/waiting_test.go
+++ b/internal/autoscaler/waiting_test.go
@@ -23,6 +23,22 @@
 	f.runUntil(maxWait, "the small job is done", small.Complete)
 }
 
+// An urgent service that does not fit into the quota limit even without the other tasks of its team
+// stopped them in vain, each time that they had been started again.
+func TestServiceOverQuotaStopsNothingInVain(t *testing.T) {
+	f := newSimulatedFleet(t, 10, map[Offering]int{})
+	f.addMachine(Offering{"large", "a", false})
+	serving := service("j-000001", 2, 4)
+	serving.Priority = protocol.High
+	f.submit(serving, 0)
+	f.run(5 * units.Second)
+	waiting := service("j-000002", 1, 4)
+	waiting.Priority = protocol.High
+	f.submit(waiting, 0)
+	small := f.submit(protocol.JobSpec{ID: "j-000003", Tasks: 1, Request: fake.CPUs(2)}, 20*units.Second)
+	f.runUntil(maxWait, "the small job is done", small.Complete)
+}
+
 // A team whose job waits for quota that tasks are going to free still blocks its smaller jobs, which
 // would otherwise use up what becomes free.
 func TestJobOverQuotaBlocksItsTeamUntilTasksEnd(t *testing.T) {
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -66,25 +66,33 @@
 
 // preemptWithinTeam preempts tasks of the job's own team until all of the job's pending tasks
 // fit into the team's quota limit or there are no more victims. It returns how many of them
-// fit then.
+// fit then. It preempts only victims that let one more of the job's tasks fit.
 func (p *planner) preemptWithinTeam(jobIndex int, job *JobView) int {
 	team := &p.snapshot.Teams[job.Team]
-	allowed := func() int {
-		return min(job.Pending, team.QuotaLimit.Plus(team.Used, -1).Plus(team.Freeing, 1).CountFitting(job.Spec.Request))
-	}
-	if allowed() == job.Pending || !job.urgent() || job.AwaitsCompletions {
-		return allowed()
+	free := team.QuotaLimit.Plus(team.Used, -1).Plus(team.Freeing, 1)
+	fitting := min(job.Pending, free.CountFitting(job.Spec.Request))
+	if fitting == job.Pending || !job.urgent() || job.AwaitsCompletions {
+		return fitting
 	}
+	var chosen []machineVictim
 	for _, c := range p.victimsInTeam(job.Team) {
-		if c.victim.Priority >= job.Spec.Priority || allowed() >= job.Pending {
+		if c.victim.Priority >= job.Spec.Priority || fitting >= job.Pending {
 			break
 		}
 		m := &p.snapshot.Machines[c.machine]
-		if !p.preempted[c.victim.Ref] && !m.Slow && p.feasible(c.machine, job) && p.mayPreempt(job, *c.victim) {
-			p.preemptVictim(m, *c.victim, jobIndex)
+		if p.preempted[c.victim.Ref] || m.Slow || !p.feasible(c.machine, job) || !p.mayPreempt(job, *c.victim) {
+			continue
+		}
+		free = free.Plus(c.victim.Request, 1)
+		chosen = append(chosen, c)
+		if fit := min(job.Pending, free.CountFitting(job.Spec.Request)); fit > fitting {
+			for _, c := range chosen {
+				p.preemptVictim(&p.snapshot.Machines[c.machine], *c.victim, jobIndex)
+			}
+			chosen, fitting = nil, fit
 		}
 	}
-	return allowed()
+	return fitting
 }
 
 // claimFreeing claims capacity that is free, or held by tasks being stopped, for up to n of
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -59,10 +59,10 @@
 
 // rankCandidates returns the machines on which at least one of the job's tasks fits, the best
 // first by score.compare. Machines on which the job failed come after all others, and slow ones
-// before them, except that a service's replicas are spread first. Of the others, machines that hold the image come first, and those with the
-// most free capacity next (docs/design.md). Machines that hold the image are ordered by their
-// next heartbeat, whose response delivers a start, and then by free capacity. The slice is valid
-// until the next call.
+// before them, except that a service's replicas are spread first. Of the others, machines that hold
+// the image come first, and those with the most free capacity next (docs/design.md). Machines that
+// hold the image are ordered by their next heartbeat, whose response delivers a start, and then by
+// free capacity. The slice is valid until the next call.
 func (p *planner) rankCandidates(job *JobView) []candidate {
 	p.candidates = p.candidates[:0]
 	for i := range p.snapshot.Machines {
