Review: show that a leader which stood still releases machines in use

Cause: the autoscaler asks whether it still leads at the head of a round, waits for the cloud, and then releases and hires without asking again. A leader that stands still during that wait releases machines on which its successor runs tasks. No code of the service is changed.

--- /dev/null
+++ b/review/standin2/main.go
@@ -0,0 +1,97 @@
+// The command review-2 runs a case of the review: controllers as processes, between stand-ins for
+// the users, the workers, the cloud and the state service.
+//
+//	review-2 CASE PROGRAM RECORD
+//
+// It exits with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case
+// could not run. With TROUBLE=0 in the environment the disruption is left out.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+)
+
+// caseLimit is the longest time that a case may take.
+const caseLimit = 115 * time.Second
+
+// reviewCase is a case: its deployment and its course.
+type reviewCase struct {
+	deployment func() deployment
+	run        func(w *world, trouble bool) error
+}
+
+var cases = map[string]reviewCase{
+	"stale-release": {sanciangco, staleRelease},
+	"hung-cancel":   {sanciangco, hungCancel},
+}
+
+func main() { os.Exit(execute(os.Args[1:])) }
+
+func execute(args []string) int {
+	if len(args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: review-2 CASE PROGRAM RECORD")
+		return 2
+	}
+	c, known := cases[args[0]]
+	if !known {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		return 2
+	}
+	rec, err := newRecord(args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), caseLimit)
+	defer cancel()
+	w, err := newWorld(ctx, c.deployment(), rec, args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer w.close()
+	go w.balance()
+	err = c.run(w, os.Getenv("TROUBLE") != "0")
+	for _, text := range rec.violations() {
+		fmt.Println("broken:", text)
+	}
+	switch {
+	case len(rec.violations()) > 0:
+		return 1
+	case err != nil:
+		rec.log("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, "could not run:", err)
+		return 2
+	}
+	fmt.Println("held")
+	return 0
+}
+
+// startAll starts all nodes and waits until one leads and all machines have seen its token.
+func (w *world) startAll() (leader int, err error) {
+	for i := range w.nodes {
+		if err := w.start(i); err != nil {
+			return 0, err
+		}
+	}
+	err = w.await("a leader that all machines know", 30*time.Second, func() bool {
+		i, _ := w.leader()
+		if i < 0 {
+			return false
+		}
+		leader = i
+		for _, m := range w.cloud.all() {
+			m.mu.Lock()
+			baton := m.baton
+			m.mu.Unlock()
+			if m.live() && m.bootFor == 0 && baton == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return leader, err
+}
