Review: show that a hung machine keeps a cancelled task when its zone has no other

Cause: a silent machine that holds tasks of a cancelled job is released only if another machine of its zone is healthy, or two in the fleet for each silent one. No code of the service is changed.

--- a/review/standin2/hungcancel.go
+++ b/review/standin2/hungcancel.go
@@ -6,30 +6,37 @@
 	"dunestand/internal/protocol"
 )
 
-// hungCancel: a job runs on the machines of one zone, is cancelled, and these machines hang and do
-// not go on. The tasks must be gone within cancel_s, which takes a release of the machines.
+// twoMachines is a deployment that keeps two machines, one in each zone.
+func twoMachines() deployment {
+	d := sanciangco()
+	d.teams = []team{{"planning", 4, 64}, {"dyehouse", 4, 64}}
+	return d
+}
+
+// hungCancel: one of two machines hangs and does not go on, and the job on it is cancelled. Its
+// tasks must be gone within cancel_s, which takes a release of the machine.
 func hungCancel(w *world, trouble bool) error {
-	for _, yard := range []string{"taytay", "baliuag", "taytay", "baliuag"} {
-		w.cloud.addMachine("shuttle", yard, false, 0)
+	for _, yard := range []string{"taytay", "baliuag"} {
+		w.cloud.addMachine("shuttle", yard)
 	}
-	w.cloud.capacity = 4
+	w.cloud.capacity = 6
 	if _, err := w.startAll(); err != nil {
 		return err
 	}
 	const job = "j-000001"
-	w.upload(job, 4, 4, 300*time.Second)
+	w.upload(job, 2, 4, 300*time.Second)
 	s := w.submission(job, "planning")
 	s[protocol.FieldZone] = "taytay"
 	if err := w.submit(s); err != nil {
 		return err
 	}
-	w.upload("j-000002", 4, 4, 300*time.Second)
+	w.upload("j-000002", 2, 4, 300*time.Second)
 	other := w.submission("j-000002", "dyehouse")
 	other[protocol.FieldZone] = "baliuag"
 	if err := w.submit(other); err != nil {
 		return err
 	}
-	if err := w.await("both jobs run", 30*time.Second, func() bool { return len(w.runningOn()) == 4 }); err != nil {
+	if err := w.await("both jobs run", 30*time.Second, func() bool { return len(w.runningOn()) == 2 && w.runningTasks() == 4 }); err != nil {
 		return err
 	}
 	if trouble {
@@ -65,3 +72,10 @@
 	}
 	return on
 }
+
+// runningTasks returns the number of tasks that have started and not ended.
+func (w *world) runningTasks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running)
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,7 +25,9 @@
 
 var cases = map[string]reviewCase{
 	"stale-release": {sanciangco, staleRelease},
-	"hung-cancel":   {sanciangco, hungCancel},
+	"hung-cancel":   {twoMachines, hungCancel},
+	"stale-claim":   {sanciangco, staleClaim},
+	"chaos":         {sufra, chaos},
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -32,11 +32,14 @@
 
 const cloudLatency = 200 * time.Millisecond
 
-// addMachine creates a machine; with no boot time it is up at once.
-func (c *cloud) addMachine(loom, yard string, spot bool, boot time.Duration) *worker {
+// firstAge is the age of the machines that are up at the start, so that the list shows them.
+const firstAge = 5 * time.Minute
+
+// addMachine adds a machine that is up at the start.
+func (c *cloud) addMachine(loom, yard string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.addLocked(loom, yard, spot, boot)
+	c.addLocked(loom, yard, false, 0).created = time.Now().Add(-firstAge)
 }
 
 func (c *cloud) addLocked(loom, yard string, spot bool, boot time.Duration) *worker {
--- a/review/standin2/stalerelease.go
+++ b/review/standin2/stalerelease.go
@@ -13,7 +13,7 @@
 func staleRelease(w *world, trouble bool) error {
 	const standstill = 30 * time.Second
 	for _, yard := range []string{"taytay", "baliuag"} {
-		w.cloud.addMachine("shuttle", yard, false, 0)
+		w.cloud.addMachine("shuttle", yard)
 	}
 	w.cloud.capacity = 2
 	first, err := w.startAll()
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -86,6 +87,7 @@
 	wait   time.Duration // before it is executed
 	lost   bool          // executed, but not answered
 	never  bool          // neither executed nor answered
+	later  time.Duration // not answered, and executed this much later
 }
 
 // world is everything around the controllers.
@@ -104,6 +106,8 @@
 	jobs     map[string]jobInfo
 	running  map[string]*worker // live tasks that have started, by name
 	maxToken uint64
+	done     map[string]map[int]bool // tasks that have completed, by job
+	quietAt  time.Time               // until when users are active
 	servers  []*http.Server
 }
 
@@ -115,7 +119,7 @@
 	w := &world{
 		deployment: d, rec: rec, ctx: ctx, kv: fake.NewKVServer(), program: program, folder: folder,
 		user: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		jobs: map[string]jobInfo{}, running: map[string]*worker{},
+		jobs: map[string]jobInfo{}, running: map[string]*worker{}, done: map[string]map[int]bool{},
 	}
 	w.cloud = &cloud{w: w, machines: map[string]*worker{}, hires: map[string][]string{}, capacity: d.capacity}
 	for i := range d.nodes {
@@ -149,13 +153,16 @@
 	return listener.Addr().String()
 }
 
+// freeAddress returns a loopback address for a process that is started later. Its port is below those
+// that the system gives to other listeners and connections.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000)))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 func (w *world) settingsOf(i int) map[string]any {
@@ -203,6 +210,15 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	case fault.never:
 		panic(http.ErrAbortHandler)
+	case fault.later > 0:
+		late, err := http.NewRequest(r.Method, r.URL.String(), strings.NewReader(string(body)))
+		time.AfterFunc(fault.later, func() {
+			if err == nil {
+				w.kv.ServeHTTP(&discard{header: http.Header{}}, late)
+			}
+		})
+		time.Sleep(2 * time.Second)
+		panic(http.ErrAbortHandler)
 	case fault.lost:
 		w.kv.ServeHTTP(&discard{header: http.Header{}}, r)
 		time.Sleep(5 * time.Second)
@@ -280,6 +296,12 @@
 	if w.running[name] == m {
 		delete(w.running, name)
 	}
+	if why == "done" {
+		if w.done[t.job] == nil {
+			w.done[t.job] = map[int]bool{}
+		}
+		w.done[t.job][t.index] = true
+	}
 	w.mu.Unlock()
 	w.rec.log("machine %s: task %s try %d ends: %s", m.id, name, t.attempt, why)
 }
