Review: show that a former leader claims the buckets of the new one

Cause: the restore of a new leader claims the buckets without asking whether it still leads, and without comparing its token with that in the heads. After a standstill it retries before the elector has learned that the lease is lost, if the state service is slow. No code of the service is changed.

--- a/review/standin2/staleclaim.go
+++ b/review/standin2/staleclaim.go
@@ -34,8 +34,8 @@
 }
 
 // staleClaim: a controller that has just been elected stands still while it begins to claim the
-// buckets. Another one leads meanwhile. Once the first one goes on, it must not take the buckets
-// from the new leader.
+// buckets, and the state service answers slowly. Another one leads meanwhile. Once the first one goes
+// on, it must not take the buckets from the new leader.
 func staleClaim(w *world, trouble bool) error {
 	const (
 		standstill = 25 * time.Second
@@ -55,6 +55,9 @@
 					stoodStill <- i
 				})
 			}
+			if trouble {
+				return stateFault{wait: stateSlow}
+			}
 			return stateFault{}
 		}
 	}
@@ -93,13 +96,6 @@
 	}
 	time.Sleep(standstill - time.Since(began))
 	if first >= 0 {
-		slow := func(*http.Request, []byte) stateFault { return stateFault{wait: stateSlow} }
-		for _, n := range w.nodes {
-			n.mu.Lock()
-			n.onState = slow
-			n.mu.Unlock()
-		}
-		w.rec.log("the state service takes %v", stateSlow)
 		w.resume(first)
 	}
 	time.Sleep(8 * time.Second)
