Review: show that a release held up past a change of leader ends running tasks

Cause: a release is not recorded before it is sent, so the next leader starts tasks on machines that the cloud is about to delete. The case of a leader that stood still and releases machines is dropped, since review/1 shows it; the others are 4 and 5 now. Each case has a program of its own, so that review/build.sh still builds all folders.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 4 to 8. Run it after the build line of deploy/service.toml.
+# Builds the programs of the cases 4 to 6, each with its stand-ins, into target/.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-2 ./review/standin2
+for case in review/[4-6]; do
+	go build -o "target/$case" "./$case"
+done
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"context"
@@ -26,6 +26,9 @@
 	down     bool
 	// onList is called at the arrival of a list request, before its answer.
 	onList func(node int)
+	// holdRelease is called with each request to release machines; if it returns true, the request gets
+	// no answer.
+	holdRelease func(node int, ids []string) bool
 	// onRelease is called for each released machine, before it ends.
 	onRelease func(node int, m *worker)
 }
@@ -102,6 +105,12 @@
 		var ids protocol.MachineIDs
 		_ = protocol.Decode(raw, &ids)
 		c.w.rec.log("node %d -> cloud: release %v", node, ids.Machines)
+		c.mu.Lock()
+		hold := c.holdRelease
+		c.mu.Unlock()
+		if hold != nil && hold(node, ids.Machines) {
+			panic(http.ErrAbortHandler)
+		}
 		c.release(node, ids.Machines)
 		answer(rw, http.StatusOK, struct{}{})
 	default:
--- a/review/standin2/main.go
+++ b/review/standin2/run.go
@@ -1,16 +1,13 @@
-// The command review-2 runs a case of the review: controllers as processes, between stand-ins for
-// the users, the workers, the cloud and the state service.
-//
-//	review-2 CASE PROGRAM RECORD
-//
-// It exits with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case
-// could not run. With TROUBLE=0 in the environment the disruption is left out.
-package main
+// Package standin2 runs the cases of the second review: controllers as processes, between stand-ins
+// for the users, the workers, the cloud and the state service. The folders of the cases hold their
+// programs.
+package standin2
 
 import (
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 )
 
@@ -24,32 +21,34 @@
 }
 
 var cases = map[string]reviewCase{
-	"stale-release": {sanciangco, staleRelease},
 	"hung-cancel":   {twoMachines, hungCancel},
 	"stale-claim":   {sanciangco, staleClaim},
+	"late-release":  {sanciangco, lateRelease},
 	"chaos":         {sufra, chaos},
 }
 
-func main() { os.Exit(execute(os.Args[1:])) }
-
-func execute(args []string) int {
-	if len(args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE PROGRAM RECORD")
+// Run runs a case from the repository's root, with the build of the deploy file in target/, and
+// writes its record. It returns 1 if the rule of the case was broken, 0 if it held, and 2 if the case
+// could not run. With TROUBLE=0 in the environment the disruption is left out.
+func Run(name, recordFile string) int {
+	c, known := cases[name]
+	program, err := filepath.Abs("target/dunestand")
+	if !known || err != nil {
+		fmt.Fprintln(os.Stderr, "unknown case", name, err)
 		return 2
 	}
-	c, known := cases[args[0]]
-	if !known {
-		fmt.Fprintln(os.Stderr, "unknown case")
+	if _, err := os.Stat(program); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	rec, err := newRecord(args[2])
+	rec, err := newRecord(recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), caseLimit)
 	defer cancel()
-	w, err := newWorld(ctx, c.deployment(), rec, args[1])
+	w, err := newWorld(ctx, c.deployment(), rec, program)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bytes"
