Review: show that an array of many small tasks keeps all work from ending

Cause: nothing limits the tasks on a machine by the size of its report. Above 64 KiB every controller answers 400, the worker's lease ends with all its tasks, and the same begins again.

--- a/review/standin2/run.go
+++ b/review/standin2/run.go
@@ -27,6 +27,7 @@
 	"hung-cancel":  {twoMachines, hungCancel},
 	"stale-claim":  {sanciangco, staleClaim},
 	"late-release": {sanciangco, lateRelease},
+	"many-tasks":   {sufra, manyTasks},
 }
 
 // Run runs a case from the repository's root, with the build of the deploy file in target/, and
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -82,6 +82,7 @@
 	mu      sync.Mutex
 	jobs    map[string]jobInfo
 	running map[string]*worker // live tasks that have started, by name
+	starts  map[string]int     // of tasks, by job
 	servers []*http.Server
 }
 
@@ -93,7 +94,7 @@
 	w := &world{
 		deployment: d, rec: rec, ctx: ctx, kv: fake.NewKVServer(), program: program, folder: folder,
 		user: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		jobs: map[string]jobInfo{}, running: map[string]*worker{},
+		jobs: map[string]jobInfo{}, running: map[string]*worker{}, starts: map[string]int{},
 	}
 	w.cloud = &cloud{w: w, machines: map[string]*worker{}, hires: map[string][]string{}, capacity: d.capacity}
 	for i := range d.nodes {
@@ -210,6 +211,7 @@
 	w.mu.Lock()
 	other := w.running[name]
 	w.running[name] = m
+	w.starts[t.job]++
 	w.mu.Unlock()
 	if other != nil && other != m {
 		w.rec.violation("ran_twice: %s starts on %s while it is on %s", name, m.id, other.id)
