Review: write the answers to reports and all cloud requests to the records

Change: one line for each report with its size and answer, and one for each request to the cloud. No check is changed.

--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -80,6 +80,7 @@
 // serve answers a request of a node.
 func (c *cloud) serve(node int, rw http.ResponseWriter, r *http.Request) {
 	raw, _ := io.ReadAll(r.Body)
+	c.w.rec.log("node %d -> cloud: %s %s", node, r.Method, r.URL.Path)
 	time.Sleep(cloudLatency)
 	switch {
 	case r.URL.Path == protocol.PathCatalog:
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -232,6 +232,7 @@
 		body, shift, sent, node := m.encodeLocked(), m.shift, time.Now(), m.node
 		m.mu.Unlock()
 		status, answer := m.send(ctx, node, body)
+		m.log("report of %d bytes -> node %d: %d", len(body), node, status)
 		m.awaitAwake(ctx)
 		if time.Since(sent) > reportLimit {
 			status = 0
