The index of unreconciled machines can hold other sets of machines, too

The index relates machines to the jobs whose tasks they may hold. It was written for one set of each job. It now takes the set from a function, so that a second set needs no second index.

No behaviour changes; the tests of cluster, failuredetector, reconciler and controller pass.

--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -37,8 +37,9 @@
 	Machines      map[string]*Machine // by ID
 	Teams         map[string]*Team    // by name
 	InstanceTypes map[string]protocol.InstanceType
-	// Unreconciled is the index of machines that have not been reconciled since the failover.
-	Unreconciled UnreconciledIndex
+	// Unreconciled is the index of the machines that have not been reconciled since the failover: a
+	// job's records name them, and no heartbeat has shown which tasks they hold.
+	Unreconciled MachineIndex
 	// Outcomes holds the statistics of finished attempts.
 	Outcomes Outcomes
 	// AcceptCondition is an additional condition of write batches that accept new jobs: the
@@ -60,7 +61,7 @@
 		Machines:      map[string]*Machine{},
 		Teams:         map[string]*Team{},
 		InstanceTypes: map[string]protocol.InstanceType{},
-		Unreconciled:  newUnreconciledIndex(),
+		Unreconciled:  newMachineIndex(func(j *Job) map[string]bool { return j.UnreconciledMachines }),
 		rules:         newRecordRules(limits),
 	}
 	s.Outcomes = newOutcomes(s.Machines)
