What a machine that hangs may hold is known until it is heard or gone

Callers saw: a cancelled task went on for longer than cancel_s on a machine that hung, after the leader had changed or when the job was cancelled after the machine's lease had expired.

Cause: the expiry of a worker lease counted as the end of the tasks. A machine that hangs ends none. With the lease the cancelled job ended, and with its records the names of its machines; a flag in the leader's memory was all that was left, and it was set only if the job had been cancelled by then.

Now a job has the machines whose lease expired with its tasks, until a heartbeat shows this leader's token or the machine is gone (Job.ExpiredMachines, State.Expired). Their names stay in the records, and a cancelled job ends when none is left. A later leader finds them like all names. Users are told as before. Starts that were never sent leave nothing behind.

TestWrittenJobsAreRestored checks the names, TestExpiredMachineIsHeardByTheLeadersToken that late reports prove nothing. The fake cloud can be down, and a fake machine that is gone does not hang any more.

--- a/internal/autoscaler/machinelist.go
+++ b/internal/autoscaler/machinelist.go
@@ -73,7 +73,7 @@
 func (as *Autoscaler) machineFailed(m *cluster.Machine, now units.Micros) {
 	as.Log.Info("machine failed", "machine", m.ID, "lost", len(m.Attempts))
 	as.State.RemoveAttempts(m, now)
-	as.State.Unreconciled.Resolve(m.ID)
+	as.State.MachineGone(m.ID)
 	m.Releasing = true
 	as.CycleSignal.Raise()
 }
@@ -84,7 +84,8 @@
 func (as *Autoscaler) removeUnlisted(present map[string]bool, now units.Micros) {
 	unlistedAfter := unlistedLagFactor*units.Seconds(as.Settings.Fleet.Cloud.ListLagS) + unlistedMargin
 	for _, m := range as.State.Machines {
-		if !m.Registered && !present[m.ID] && now-m.LaunchedAt > unlistedAfter && !as.State.Unreconciled.Contains(m.ID) {
+		mayHoldTasks := as.State.Unreconciled.Contains(m.ID) || as.State.HoldsCancelled(m.ID)
+		if !m.Registered && !present[m.ID] && now-m.LaunchedAt > unlistedAfter && !mayHoldTasks {
 			as.removeMachine(m, now)
 		}
 	}
--- a/internal/autoscaler/scalein.go
+++ b/internal/autoscaler/scalein.go
@@ -63,7 +63,7 @@
 		if m := as.State.Machines[id]; m != nil {
 			as.removeMachine(m, now)
 		} else {
-			as.State.Unreconciled.Resolve(id)
+			as.State.MachineGone(id)
 		}
 	}
 	as.Log.Info("scaled in", "machines", ids)
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -17,7 +17,10 @@
 	// UnreconciledMachines are the IDs of machines that may hold tasks of the job which no
 	// heartbeat has listed.
 	UnreconciledMachines map[string]bool
-	LearnedAt            units.Micros // steady time at which this leader learned of it
+	// ExpiredMachines are the IDs of machines that may have held tasks of the job when their worker
+	// lease expired, see State.Expired.
+	ExpiredMachines map[string]bool
+	LearnedAt       units.Micros // steady time at which this leader learned of it
 	// waitingSince is the later of the last placement of a task and the time at which the job
 	// began to have pending tasks again.
 	waitingSince units.Micros
@@ -56,14 +59,20 @@
 		Submitted:            submitted,
 		LiveAttempts:         LiveAttempts{},
 		UnreconciledMachines: map[string]bool{},
+		ExpiredMachines:      map[string]bool{},
 		JobOutcomes:          JobOutcomes{FailedMachines: FailedMachines{}},
 		done:                 newDoneTasks(spec.Tasks),
 		write:                newWriteState(),
 	}
-	j.records = newJobRecords(&j.Spec, j.UnreconciledMachines, format)
+	j.records = newJobRecords(&j.Spec, j.UnreconciledMachines, j.ExpiredMachines, format)
 	return j
 }
 
+// MayHoldTasks reports whether a task of the job may be on any machine.
+func (j *Job) MayHoldTasks() bool {
+	return len(j.LiveAttempts)+len(j.UnreconciledMachines)+len(j.ExpiredMachines) > 0
+}
+
 // IsService reports whether the job's tasks run until it is cancelled.
 func (j *Job) IsService() bool { return j.Spec.Kind == protocol.Service }
 
@@ -242,7 +251,7 @@
 	switch {
 	case !j.stored:
 		return nil
-	case j.Cancelled && len(j.LiveAttempts) == 0 && len(j.UnreconciledMachines) == 0:
+	case j.Cancelled && !j.MayHoldTasks():
 		stage = protocol.StageCancelled
 	case !j.Cancelled && j.Complete():
 		stage = protocol.StageDone
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -31,13 +31,10 @@
 	LastCommand         SentCommand  // in the last response
 	UndeliveredCommands int          // consecutive responses that had no effect
 	UndeliveredAt       units.Micros // when the last of these was detected, or its incarnation began
-	// MayHoldCancelled is set if the machine held tasks of a cancelled job when its lease
-	// expired and has sent no heartbeat since. If it only hangs, the tasks are still on it.
-	MayHoldCancelled bool
-	TerminatesAt     units.Micros // when the cloud terminates it, 0 without a notice
-	Quarantined      bool         // faulty: gets no work and is released
-	Slow             bool         // runs tasks slower than other machines run tasks of the same job
-	BlockedUntil     units.Micros // no task is placed before: it rejected a start for lack of capacity, so Used is wrong
+	TerminatesAt        units.Micros // when the cloud terminates it, 0 without a notice
+	Quarantined         bool         // faulty: gets no work and is released
+	Slow                bool         // runs tasks slower than other machines run tasks of the same job
+	BlockedUntil        units.Micros // no task is placed before: it rejected a start for lack of capacity, so Used is wrong
 
 	Stage        protocol.MachineStage // as listed by the cloud
 	LaunchedAt   units.Micros
--- a/internal/cluster/machineindex.go
+++ b/internal/cluster/machineindex.go
@@ -70,6 +70,10 @@
 // Contains reports whether the machine is in the index.
 func (x *MachineIndex) Contains(machine string) bool { return len(x.jobsOf[machine]) > 0 }
 
+// JobsOn returns the jobs that may have tasks on the machine. The index owns the list, which is valid
+// until the index changes.
+func (x *MachineIndex) JobsOn(machine string) []*Job { return x.jobsOf[machine] }
+
 // holdsCancelled reports whether the machine may hold tasks of a cancelled job.
 func (x *MachineIndex) holdsCancelled(machine string) bool {
 	return slices.ContainsFunc(x.jobsOf[machine], func(j *Job) bool { return j.Cancelled })
--- a/internal/cluster/machinenames.go
+++ b/internal/cluster/machinenames.go
@@ -13,7 +13,7 @@
 
 // inUse reports whether a machine may hold a task of the job.
 func (r *jobRecords) inUse(machine string) bool {
-	return r.attempts[machine] > 0 || r.unreconciled[machine]
+	return r.attempts[machine] > 0 || r.unreconciled[machine] || r.expired[machine]
 }
 
 // attemptGone decrements the number of the job's attempts on a machine.
--- a/internal/cluster/machines.go
+++ b/internal/cluster/machines.go
@@ -55,13 +55,31 @@
 // RemoveMachine removes a machine that is known to be gone, and its attempts.
 func (s *State) RemoveMachine(m *Machine, now units.Micros) {
 	s.RemoveAttempts(m, now)
-	s.Unreconciled.Resolve(m.ID)
+	s.MachineGone(m.ID)
 	delete(s.Machines, m.ID)
 	if i, ok := findMachine(s.sortedMachines, m.ID); ok {
 		s.sortedMachines = slices.Delete(s.sortedMachines, i, i+1)
 	}
 }
 
+// MachineGone records that nothing is left of a machine's tasks. The machine may be unknown except for
+// its name in records.
+func (s *State) MachineGone(id string) {
+	s.Unreconciled.Resolve(id)
+	s.Expired.Resolve(id)
+}
+
+// ExpireLease removes the attempts of a machine whose worker lease has expired. If the machine hangs, it
+// may still hold the tasks whose starts were sent to it.
+func (s *State) ExpireLease(m *Machine, now units.Micros) {
+	for _, a := range m.SortedAttempts() {
+		if a.Stage != Assigned && s.Jobs[a.Job.Spec.ID] == a.Job {
+			s.Expired.Mark(a.Job, m.ID)
+		}
+		s.RemoveAttempt(a, now)
+	}
+}
+
 // RemoveAttempts removes all attempts of a machine that is known to run none of them.
 func (s *State) RemoveAttempts(m *Machine, now units.Micros) {
 	for _, a := range m.SortedAttempts() {
@@ -73,14 +91,11 @@
 // job.
 func (s *State) HoldsCancelled(id string) bool {
 	if m := s.Machines[id]; m != nil {
-		if m.MayHoldCancelled {
-			return true
-		}
 		for _, a := range m.Attempts {
 			if a.Job.Cancelled {
 				return true
 			}
 		}
 	}
-	return s.Unreconciled.holdsCancelled(id)
+	return s.Unreconciled.holdsCancelled(id) || s.Expired.holdsCancelled(id)
 }
--- a/internal/cluster/record_test.go
+++ b/internal/cluster/record_test.go
@@ -113,7 +113,8 @@
 	}
 }
 
-// runTasks completes some tasks of each job, assigns others and removes some of the attempts.
+// runTasks completes some tasks of each job, assigns others and removes some of the attempts. It cancels
+// some jobs, and the leases of some machines expire.
 func (m *restoreModel) runTasks() {
 	for _, id := range slices.Sorted(maps.Keys(m.state.Jobs)) {
 		j := m.state.Jobs[id]
@@ -136,6 +137,20 @@
 				m.state.RemoveAttempt(a, 0)
 			}
 		}
+		if j.Accepted() && !j.Complete() && rapid.IntRange(0, 9).Draw(m.t, "cancelled") == 0 {
+			j.Cancelled = true
+			j.MarkChanged(0, true)
+		}
+	}
+	for _, machine := range m.state.SortedMachines() {
+		for _, a := range machine.Attempts {
+			if a.Job.MachineNameIsDurable(machine.ID) {
+				a.Stage = Sent
+			}
+		}
+		if rapid.IntRange(0, 99).Draw(m.t, "lease expired") == 0 {
+			m.state.ExpireLease(machine, 0)
+		}
 	}
 }
 
@@ -210,6 +225,9 @@
 		if want.MachineNameIsDurable(machine) && !got.UnreconciledMachines[machine] {
 			m.t.Fatalf("%s may start on %s, which no stored record names", id, machine)
 		}
+		if want.ExpiredMachines[machine] && !got.UnreconciledMachines[machine] {
+			m.t.Fatalf("%s may have tasks on %s, whose lease expired and which no stored record names", id, machine)
+		}
 		if legacy != nil && want.MachineNameIsDurable(machine) && !slices.Contains(legacy[id].Machines, machine) {
 			m.t.Fatalf("%s may start on %s, which the legacy version does not restore", id, machine)
 		}
--- a/internal/cluster/recordstate.go
+++ b/internal/cluster/recordstate.go
@@ -25,10 +25,11 @@
 	nameLimit int             // upper limit of nameBytes
 }
 
-// jobRecords tracks the records of a live job. It shares spec and unreconciled with the Job.
+// jobRecords tracks the records of a live job. It shares spec, unreconciled and expired with the Job.
 type jobRecords struct {
 	spec         *protocol.JobSpec
 	unreconciled map[string]bool // Job.UnreconciledMachines
+	expired      map[string]bool // Job.ExpiredMachines
 	attempts     map[string]int  // number of live attempts by machine
 
 	format      storage.Format
@@ -48,11 +49,12 @@
 // be on more machines than it has tasks.
 const maxParts = protocol.MaxTasks
 
-func newJobRecords(spec *protocol.JobSpec, unreconciled map[string]bool, format storage.Format) jobRecords {
+func newJobRecords(spec *protocol.JobSpec, unreconciled, expired map[string]bool, format storage.Format) jobRecords {
 	main := &recordState{key: storage.KeyJob(spec.ID), dirty: true, machines: map[string]bool{}}
 	return jobRecords{
 		spec:         spec,
 		unreconciled: unreconciled,
+		expired:      expired,
 		attempts:     map[string]int{},
 		format:       format,
 		main:         main,
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -40,6 +40,9 @@
 	// Unreconciled is the index of the machines that have not been reconciled since the failover: a
 	// job's records name them, and no heartbeat has shown which tasks they hold.
 	Unreconciled MachineIndex
+	// Expired is the index of the machines whose worker lease has expired and that have neither been
+	// heard from since nor proven to be gone. Such a machine has ended its tasks unless it hangs.
+	Expired MachineIndex
 	// Outcomes holds the statistics of finished attempts.
 	Outcomes Outcomes
 	// AcceptCondition is an additional condition of write batches that accept new jobs: the
@@ -62,6 +65,7 @@
 		Teams:         map[string]*Team{},
 		InstanceTypes: map[string]protocol.InstanceType{},
 		Unreconciled:  newMachineIndex(func(j *Job) map[string]bool { return j.UnreconciledMachines }),
+		Expired:       newMachineIndex(func(j *Job) map[string]bool { return j.ExpiredMachines }),
 		rules:         newRecordRules(limits),
 	}
 	s.Outcomes = newOutcomes(s.Machines)
@@ -117,6 +121,7 @@
 		delete(s.Jobs, j.Spec.ID)
 	}
 	s.Unreconciled.removeJob(j)
+	s.Expired.removeJob(j)
 }
 
 // NewJob adds a submitted job and marks an urgent write. The job is accepted only once its
--- a/internal/failuredetector/leases.go
+++ b/internal/failuredetector/leases.go
@@ -16,8 +16,7 @@
 	for _, m := range d.State.Machines {
 		if len(m.Attempts) > 0 && now-max(m.LastHeartbeat, d.ElectedAt) >= lease {
 			d.Log.Info("worker lease expired", "machine", m.ID, "lost", len(m.Attempts))
-			m.MayHoldCancelled = m.MayHoldCancelled || d.State.HoldsCancelled(m.ID)
-			d.State.RemoveAttempts(m, now)
+			d.State.ExpireLease(m, now)
 		}
 	}
 }
@@ -36,7 +35,7 @@
 		// unreconciled.
 		machines, jobs := d.State.Unreconciled.Machines(), d.State.Unreconciled.JobCount()
 		for _, id := range machines {
-			d.State.Unreconciled.Resolve(id)
+			d.expireUnreconciled(id, now)
 		}
 		if len(machines) > 0 {
 			d.Log.Info("worker leases from before the election expired; machines reconciled", "machines", len(machines), "jobs_freed", jobs)
@@ -48,12 +47,22 @@
 	}
 }
 
+// expireUnreconciled marks an unreconciled machine as reconciled after the expiry of its worker lease. If
+// it is silent, it may hang and still hold tasks.
+func (d *Detector) expireUnreconciled(id string, now units.Micros) {
+	if m := d.State.Machines[id]; m == nil || !m.Registered || now-m.LastHeartbeat > d.SuspectAfter() {
+		for _, job := range d.State.Unreconciled.JobsOn(id) {
+			d.State.Expired.Mark(job, id)
+		}
+	}
+	d.State.Unreconciled.Resolve(id)
+}
+
 // endCancelledJobs requests the write of the terminal state of each cancelled job that can have no
 // running attempt any more.
 func (d *Detector) endCancelledJobs(now units.Micros) {
 	for _, job := range d.State.Jobs {
-		nothingRuns := len(job.LiveAttempts) == 0 && len(job.UnreconciledMachines) == 0
-		if job.Cancelled && nothingRuns && job.CancelDurable && !job.WritePending() {
+		if job.Cancelled && !job.MayHoldTasks() && job.CancelDurable && !job.WritePending() {
 			job.MarkChanged(now, true)
 			d.WriteSignal.Raise()
 		}
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -18,6 +18,7 @@
 	provisioned  map[string][]string // instance IDs by request ID
 	machines     map[string]protocol.ListedMachine
 	createdCount int
+	down         bool
 
 	// OnProvision and OnRelease, if set, are called for each instance that is provisioned or
 	// released. They are called under the cloud's lock and must be set before the first request.
@@ -35,12 +36,21 @@
 	}
 }
 
+// SetDown sets whether the cloud rejects all requests.
+func (c *Cloud) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
 // ServeHTTP implements the cloud's HTTP API.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.down:
+		writeResponse(w, http.StatusServiceUnavailable, protocol.ErrorResponse{Message: "trouble"})
 	case r.URL.Path == protocol.PathCatalog:
 		writeResponse(w, http.StatusOK, c.catalog)
 	case r.URL.Path == protocol.PathMachines && r.Method == http.MethodGet:
--- a/internal/fake/machinefault.go
+++ b/internal/fake/machinefault.go
@@ -39,10 +39,11 @@
 	return m.Timing.LeaseDuration - time.Since(m.leaseStart)
 }
 
+// hung reports whether the machine exists and is suspended.
 func (m *Machine) hung() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.hungLocked()
+	return !m.killed && m.hungLocked()
 }
 
 func (m *Machine) hungLocked() bool { return time.Now().Before(m.hungUntil) }
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -71,7 +71,10 @@
 		rc.logMachineReconciled(m, rc.State.Unreconciled.Resolve(m.ID), now)
 		rc.CycleSignal.Raise()
 	}
-	m.FencingToken, m.MayHoldCancelled = heartbeat.FencingToken, false
+	m.FencingToken = heartbeat.FencingToken
+	if heartbeat.FencingToken == rc.Token {
+		rc.State.Expired.Resolve(m.ID)
+	}
 	return m
 }
 
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// A machine whose lease has expired may hang with its tasks. Only a heartbeat that shows the leader's
+// token proves that it does not: any other may be a delayed duplicate.
+func TestExpiredMachineIsHeardByTheLeadersToken(t *testing.T) {
+	rc, job := newTestReconciler(t)
+	job.Cancelled = true
+	rc.State.Expired.Mark(job, testMachine)
+	earlier := heartbeat(1, 1)
+	earlier.FencingToken = testToken - 1
+	if rc.Reconcile(earlier, testNow); !rc.State.HoldsCancelled(testMachine) {
+		t.Fatal("proven not to hang by a former leader's token")
+	}
+	if rc.Reconcile(heartbeat(1, 2), testNow); rc.State.HoldsCancelled(testMachine) || job.MayHoldTasks() {
+		t.Error("not proven to be without tasks by the leader's token")
+	}
+}
+
 // A start is sent only after a record that names its machine is durable, and only once.
 func TestStartIsSentOnceItsMachineNameIsDurable(t *testing.T) {
 	rc, job := newTestReconciler(t)
--- a/node/deployment_faults_test.go
+++ b/node/deployment_faults_test.go
@@ -12,7 +12,9 @@
 			n.kvRejects = false
 		}
 	})
+	d.cloud.SetDown(false)
 	for i := range d.controllers {
+		d.network.Partition(d.controllers[i].name, cloudAddress, false)
 		d.partitionPeers(i, false)
 		d.partitionMachines(i, false, anyMachine)
 	}
--- a/node/deployment_test.go
+++ b/node/deployment_test.go
@@ -26,6 +26,7 @@
 	network    *fake.Network
 	invariants *fake.InvariantChecker
 	kv         *fake.KVServer
+	cloud      *fake.Cloud
 	fleet      config.Fleet
 	background sync.WaitGroup // goroutines that end when ctx is cancelled
 	policy     func(controller int) *config.Policy
@@ -158,6 +159,7 @@
 		BootSeconds: 1,
 		Zones:       zones,
 	}}}, options.machines/len(zones))
+	d.cloud = cloud
 	cloud.OnProvision, cloud.OnRelease = d.startMachine, d.stopMachine
 	d.serve(cloudAddress, cloud)
 	for i := range options.controllers {
