A machine with cancelled tasks is released in time, whoever else is silent

Cause: a silent machine with cancelled tasks was released only if another one of its zone sent heartbeats, otherwise by the rule for all machines, two healthy ones for each silent one. That rule guards against taking a partition for lost machines. A fleet of one, a zone that hangs, a leader that was delayed: nothing was released. By then the machine's lease has expired, so a release costs no work.

Now such a machine has a deadline, cancel_s after the earliest time at which a user may have been told, and is due as long before it as the release of all such machines takes at the cloud's rate, with one request that gets no answer, and a failover, but not before the lease has expired if that is in time (Detector.DueCancellations). Machines that are due are released first. Others are not affected. The time of the cancellation is in the job's record, in a field that earlier versions ignore, so a later leader keeps the deadline; it waits for heartbeats of a machine unless the deadline is near. If users are told only when no task is left, the machine is due when its lease has expired.

Machines without cancelled tasks are kept, and a leader that alone hears no machine steps down before it releases any.

--- a/internal/autoscaler/scalein.go
+++ b/internal/autoscaler/scalein.go
@@ -21,6 +21,8 @@
 	// this leader, or that it ignores commands.
 	releaseLost releaseReason = "lost"
 	releaseIdle releaseReason = "idle"
+	// releaseCancelled means that tasks of a cancelled job may be on the machine and have to be gone.
+	releaseCancelled releaseReason = "cancelled tasks"
 )
 
 // String returns the reason as it is logged.
@@ -37,8 +39,8 @@
 	bootTimeoutAfterElection = 30 * units.Second
 )
 
-// scaleIn releases machines that are faulty, lost, did not finish booting, or are idle and not
-// needed for the demand or the reserve.
+// scaleIn releases machines that are faulty, lost, did not finish booting, may hold cancelled tasks
+// for too long, or are idle and not needed for the demand or the reserve.
 func (as *Autoscaler) scaleIn(ctx context.Context) {
 	as.State.Lock()
 	ids := as.MachinesToRelease(as.Clock.Steady())
@@ -71,10 +73,27 @@
 	as.CycleSignal.Raise()
 }
 
-// MachinesToRelease returns the IDs of the machines to release, in ascending order. A machine
-// that has been chosen gets no more work and stays chosen, since the cloud may carry out a
-// release request that got no answer at any time.
+// MachinesToRelease returns the IDs of the machines to release: first those for which there is a
+// deadline, the most urgent first, then the others in ascending order. A machine that has been
+// chosen gets no more work and stays chosen, since the cloud may carry out a release request that got
+// no answer at any time.
 func (as *Autoscaler) MachinesToRelease(now units.Micros) []string {
+	due := as.Detector.DueCancellations(now)
+	for _, id := range due {
+		if m := as.State.Machines[id]; m != nil {
+			as.markReleasing(m, releaseCancelled)
+		}
+	}
+	others := as.machinesWithoutDeadline(now)
+	for _, id := range due {
+		delete(others, id)
+	}
+	return append(due, sorted.Keys(others)...)
+}
+
+// machinesWithoutDeadline returns the IDs of the machines to release because they are faulty, lost, did
+// not finish booting or are idle, and of those that were chosen before.
+func (as *Autoscaler) machinesWithoutDeadline(now units.Micros) map[string]bool {
 	chosen := map[string]bool{}
 	lost := as.Detector.LostMachines(now)
 	for _, id := range sorted.Keys(as.State.Machines) {
@@ -95,7 +114,7 @@
 		as.markReleasing(m, releaseIdle)
 		chosen[m.ID] = true
 	}
-	return sorted.Keys(chosen)
+	return chosen
 }
 
 // markReleasing marks a machine as being released and logs the reason the first time.
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -13,7 +13,9 @@
 	Cancelled bool
 	// CancelDurable is set once the cancellation is durable and can be confirmed to the user.
 	CancelDurable bool
-	LiveAttempts  LiveAttempts
+	// CancelledAt is the steady time from which on a user may have been told of the cancellation.
+	CancelledAt  units.Micros
+	LiveAttempts LiveAttempts
 	// UnreconciledMachines are the IDs of machines that may hold tasks of the job which no
 	// heartbeat has listed.
 	UnreconciledMachines map[string]bool
@@ -35,7 +37,8 @@
 	stored bool // a record exists in the key-value store
 	// inPendingQueue is set while the job has a record in the pending-submission queue,
 	// which is to be deleted.
-	inPendingQueue bool
+	inPendingQueue  bool
+	cancelRequested units.Micros // time of day, 0 if not cancelled
 	// cancelVersion is a version of the job's record that contains the cancellation.
 	cancelVersion uint64
 }
@@ -68,6 +71,23 @@
 	return j
 }
 
+// Cancel marks the job as cancelled. wall is the time of day, now the steady time.
+func (j *Job) Cancel(wall, now units.Micros) {
+	j.Cancelled = true
+	j.CancelledAt, j.cancelRequested = now, wall
+	j.MarkChanged(now, true)
+}
+
+// LearnedFromRecords sets the steady times of a job that a new leader has read from its records. wall
+// is the time of day, now the steady time, and maxWallError the largest error of the time of day on
+// any controller.
+func (j *Job) LearnedFromRecords(wall, now, maxWallError units.Micros) {
+	j.LearnedAt = now
+	if j.Cancelled {
+		j.CancelledAt = now - max(0, wall-j.cancelRequested+2*maxWallError)
+	}
+}
+
 // MayHoldTasks reports whether a task of the job may be on any machine.
 func (j *Job) MayHoldTasks() bool {
 	return len(j.LiveAttempts)+len(j.UnreconciledMachines)+len(j.ExpiredMachines) > 0
--- a/internal/cluster/jobrecord.go
+++ b/internal/cluster/jobrecord.go
@@ -8,6 +8,7 @@
 	record.WriteID = writeID
 	record.Submitted = j.Submitted
 	record.Cancelled = j.Cancelled
+	record.CancelRequested = j.cancelRequested
 	record.Machines = machines
 	record.Done = storage.EncodeDonePage(j.records.inlineDone(j.done.set))
 	return record
--- a/internal/cluster/record_test.go
+++ b/internal/cluster/record_test.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// latestTime is a time of day with the most digits.
+const latestTime = units.Micros(9e15)
+
 // runTasks completes some tasks of each job, assigns others and removes some of the attempts. It cancels
 // some jobs, and the leases of some machines expire.
 func (m *restoreModel) runTasks() {
@@ -138,8 +141,7 @@
 			}
 		}
 		if j.Accepted() && !j.Complete() && rapid.IntRange(0, 9).Draw(m.t, "cancelled") == 0 {
-			j.Cancelled = true
-			j.MarkChanged(0, true)
+			j.Cancel(latestTime, 0)
 		}
 	}
 	for _, machine := range m.state.SortedMachines() {
@@ -221,6 +223,9 @@
 	if !reflect.DeepEqual(got.Spec, want.Spec) || got.Submitted != want.Submitted {
 		m.t.Fatalf("restored %+v, written %+v", got.Spec, want.Spec)
 	}
+	if got.Cancelled && got.cancelRequested != latestTime {
+		m.t.Fatalf("%s: time of the cancellation restored as %v", id, got.cancelRequested)
+	}
 	for machine := range m.state.Machines {
 		if want.MachineNameIsDurable(machine) && !got.UnreconciledMachines[machine] {
 			m.t.Fatalf("%s may start on %s, which no stored record names", id, machine)
--- a/internal/cluster/restore.go
+++ b/internal/cluster/restore.go
@@ -96,6 +96,9 @@
 		return nil, r, &storage.RecordError{Key: key, Err: storage.ErrOutOfRange}
 	}
 	j.Cancelled, j.CancelDurable = r.Cancelled, r.Cancelled
+	if r.Cancelled {
+		j.cancelRequested = max(r.CancelRequested, r.Submitted)
+	}
 	if err := storage.DecodeDonePage(r.Done, j.records.inlineDone(j.done.set)); err != nil {
 		return nil, r, &storage.RecordError{Key: key, Err: err}
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -43,6 +43,9 @@
 	TimeBoundMS float64     `json:"time_bound_ms"`
 }
 
+// TimeBound returns the largest error of the time of day on any controller.
+func (f *Fleet) TimeBound() units.Micros { return units.Seconds(f.TimeBoundMS / 1000) }
+
 // Team is a group of users with a guaranteed quota, in GuaranteedCPUs and GuaranteedGPUs, and a
 // quota limit, in LimitCPUs and LimitGPUs. A guaranteed quota of 0 guarantees nothing; a quota
 // limit of 0 means no limit.
--- a/internal/controller/cancel.go
+++ b/internal/controller/cancel.go
@@ -73,15 +73,14 @@
 	if job.Complete() || job.Cancelled {
 		return
 	}
-	job.Cancelled = true
-	l.Log.Info("job cancelled", "job", job.Spec.ID, "live", len(job.LiveAttempts))
 	now := l.Clock.Steady()
+	job.Cancel(l.Clock.Wall(), now)
+	l.Log.Info("job cancelled", "job", job.Spec.ID, "live", len(job.LiveAttempts))
 	for attempt := range job.LiveAttempts.All() {
 		if attempt.Stage == cluster.Sent || attempt.Stage == cluster.Fetching {
 			l.pusher.RequestPush(attempt.Machine, nil, now) // otherwise the attempt may still start
 		}
 	}
-	job.MarkChanged(now, true)
 	l.writeSignal.Raise()
 }
 
--- a/internal/election/workerlease.go
+++ b/internal/election/workerlease.go
@@ -14,6 +14,13 @@
 	return WithDrift(w.LeaseDuration(), workerLeaseMargin)
 }
 
+// FailoverTime returns the longest time, by any controller's clock, from the failure of a leader to the
+// election of the next one if the key-value store and another controller work.
+func FailoverTime(w config.Workers) units.Micros {
+	timing := TimingFor(w.LeaseDuration())
+	return WithDrift(timing.Duration, timing.CampaignMargin) + timing.PollEvery + leasePollJitter
+}
+
 // ConfirmsCancellationWhenDurable reports whether a cancellation may be confirmed to the user as
 // soon as it is durable. From then on every controller that renews a worker's lease knows of the
 // cancellation: the leader that stored it knew it before, former leaders no longer hold the
--- a/internal/failuredetector/detector.go
+++ b/internal/failuredetector/detector.go
@@ -1,8 +1,8 @@
 // Package failuredetector decides from missing heartbeats which machines are lost, and whether this
 // controller itself is isolated or overloaded.
 //
-// lostmachines.go finds lost machines, leases.go drops the attempts of machines whose leases have
-// expired, isolation.go detects that this controller is isolated from the workers, and delay.go that
+// lostmachines.go finds lost machines, cancellations.go those that must be released because they may hold
+// cancelled tasks, leases.go drops the attempts of machines whose leases have expired, isolation.go detects that this controller is isolated from the workers, and delay.go that
 // it runs too slowly to lead.
 package failuredetector
 
--- a/internal/failuredetector/lostmachines.go
+++ b/internal/failuredetector/lostmachines.go
@@ -56,7 +56,7 @@
 // machines of the fleet or of a zone are silent at the same time, a network partition is the likelier
 // cause, and a partitioned zone must not be released. LostMachines then returns none of the fleet, or
 // none of the zone until ZonePartitionGrace has passed. It still returns machines that may run tasks
-// of cancelled jobs, unless no machine of their zone is healthy.
+// of cancelled jobs, unless no machine of their zone is healthy; see also DueCancellations.
 func (d *Detector) LostMachines(now units.Micros) map[string]bool {
 	if now < d.reportLostFrom {
 		return map[string]bool{}
--- a/internal/failuredetector/lostmachines_test.go
+++ b/internal/failuredetector/lostmachines_test.go
@@ -24,6 +24,7 @@
 	settings := &config.Settings{Fleet: config.Fleet{
 		Workers:  config.Workers{HeartbeatS: 1, LeaseS: 10, CancelS: 11},
 		KVLimits: config.KVLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		Cloud:    config.CloudLimits{RPS: 5, ListLagS: 4},
 	}}
 	state := cluster.NewState(nil, settings.Fleet.KVLimits)
 	for i := range 14 {
--- a/internal/fake/settings.go
+++ b/internal/fake/settings.go
@@ -15,6 +15,7 @@
 		Teams:    []config.Team{{Name: "team", GuaranteedCPUs: 4, LimitCPUs: 9}},
 		Workers:  config.Workers{HeartbeatS: 1, LeaseS: 10, CancelS: 11},
 		KVLimits: config.KVLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		Cloud:    config.CloudLimits{RPS: 5, ListLagS: 4},
 	}}
 }
 
--- a/internal/persister/restore.go
+++ b/internal/persister/restore.go
@@ -103,11 +103,11 @@
 // InstallRecords adds the restored jobs and the catalog to the state, and marks it as restored. It
 // must be called once. The caller must hold the state lock.
 func (p *Persister) InstallRecords(jobs []*cluster.Job, catalog protocol.Catalog) {
-	now := p.Clock.Steady()
+	now, wall := p.Clock.Steady(), p.Clock.Wall()
 	p.State.SetInstanceTypes(catalog.Types)
 	p.State.UpgradeFormat(p.Format.Current(), now)
 	for _, j := range jobs {
-		j.LearnedAt = now
+		j.LearnedFromRecords(wall, now, p.Settings.Fleet.TimeBound())
 		p.State.AddJob(j)
 	}
 	p.State.Restored = true
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -104,7 +104,7 @@
 // token proves that it does not: any other may be a delayed duplicate.
 func TestExpiredMachineIsHeardByTheLeadersToken(t *testing.T) {
 	rc, job := newTestReconciler(t)
-	job.Cancelled = true
+	job.Cancel(testNow, testNow)
 	rc.State.Expired.Mark(job, testMachine)
 	earlier := heartbeat(1, 1)
 	earlier.FencingToken = testToken - 1
--- a/internal/storage/jobrecord.go
+++ b/internal/storage/jobrecord.go
@@ -40,8 +40,11 @@
 	Submitted          units.Micros `cbor:"submitted" json:"submitted"` // time of day
 	Cancelled          bool         `cbor:"cancelled" json:"cancelled"`
 	Machines           []string     `cbor:"machines" json:"machines"` // those that may hold tasks of the job
-	Done               string       `cbor:"done" json:"done"`         // the done set as base64 if it is stored here, or its first page in FormatV1
-	Pages              int          `cbor:"pages" json:"pages"`       // number of further pages, in FormatV1
+	// CancelRequested is the time of day at which the cancellation was requested. It is 0 if the job
+	// is not cancelled, and in records of versions that do not know the field.
+	CancelRequested units.Micros `cbor:"cancel_requested,omitempty" json:"cancel_requested,omitempty"`
+	Done            string       `cbor:"done" json:"done"`   // the done set as base64 if it is stored here, or its first page in FormatV1
+	Pages           int          `cbor:"pages" json:"pages"` // number of further pages, in FormatV1
 }
 
 // MachineNamesRecord holds the names of a job's machines that did not fit into its JobRecord, or
--- a/node/hung_machine_test.go
+++ b/node/hung_machine_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,11 @@
 	}
 }
 
+// machinesInZone returns the machines of a zone.
+func (d *deployment) machinesInZone(zone string) []*fake.Machine {
+	return slices.DeleteFunc(slices.Clone(d.allMachines()), func(m *fake.Machine) bool { return m.Zone != zone })
+}
+
 // cancelAll cancels jobs and waits until the users have been told.
 func (d *deployment) cancelAll(jobs []fake.JobInfo) {
 	d.t.Helper()
@@ -31,6 +37,17 @@
 	d.waitUntil("users are told of the cancellations", func() bool { return d.invariants.ConfirmedCancellations() >= len(jobs) })
 }
 
+// restartAll stops all controllers and starts them again after a downtime.
+func (d *deployment) restartAll(downtime time.Duration) {
+	for i := range d.controllers {
+		d.stop(i)
+	}
+	d.sleep(downtime)
+	for i := range d.controllers {
+		d.start(i)
+	}
+}
+
 // A machine hangs with cancelled tasks, and the cloud is down until its lease has expired and another
 // controller leads. The job once ended with the lease, and its records with it, so the later leader did
 // not know that the machine had to be released.
@@ -47,3 +64,106 @@
 		d.sleep(hangCancelTimeout)
 	})
 }
+
+// Machines hang with cancelled tasks and do not go on, while no machine shows that the network works.
+// A leader once released none of them, and one that was elected later did not know of them.
+func TestHungMachinesWithoutHealthyOthersKeepNoCancelledTask(t *testing.T) {
+	hangAllThenCancel := func(d *deployment, jobs []fake.JobInfo) {
+		hangMachines(d.allMachines())
+		d.cancelAll(jobs)
+	}
+	for _, c := range []struct {
+		name     string
+		scenario func(d *deployment, jobs []fake.JobInfo)
+	}{
+		{"nothing else fails", hangAllThenCancel},
+		{"one zone hangs", func(d *deployment, jobs []fake.JobInfo) {
+			hangMachines(d.machinesInZone("a"))
+			d.cancelAll(jobs)
+		}},
+		{"leader changes before the leases expire", func(d *deployment, jobs []fake.JobInfo) {
+			hangAllThenCancel(d, jobs)
+			d.restart(d.leader(), 8*time.Second)
+		}},
+		{"leader changes after the leases have expired", func(d *deployment, jobs []fake.JobInfo) {
+			hangAllThenCancel(d, jobs)
+			d.sleep(afterLease)
+			d.restart(d.leader(), 100*time.Millisecond)
+		}},
+		{"all controllers are away when the leases expire", func(d *deployment, jobs []fake.JobInfo) {
+			hangAllThenCancel(d, jobs)
+			d.sleep(3 * time.Second)
+			d.restartAll(workerLease)
+		}},
+		{"cloud rejects requests until shortly before the deadline", func(d *deployment, jobs []fake.JobInfo) {
+			hangAllThenCancel(d, jobs)
+			d.cloud.SetDown(true)
+			d.sleep(afterLease)
+			d.restart(d.leader(), 100*time.Millisecond)
+			d.sleep(11 * time.Second)
+			d.cloud.SetDown(false)
+		}},
+		{"jobs are cancelled after the leases have expired", func(d *deployment, jobs []fake.JobInfo) {
+			hangMachines(d.allMachines())
+			d.sleep(2 * workerLease)
+			d.cancelAll(jobs)
+		}},
+		{"jobs are cancelled by a later leader than the one whose leases expired", func(d *deployment, jobs []fake.JobInfo) {
+			hangMachines(d.allMachines())
+			d.sleep(2 * workerLease)
+			d.restart(d.leader(), 100*time.Millisecond)
+			d.sleep(5 * time.Second)
+			d.cancelAll(jobs)
+		}},
+	} {
+		for _, machines := range []int{2, 6} {
+			t.Run(c.name, func(t *testing.T) {
+				simulate(t, deploymentOptions{machines: machines, cancelTimeout: hangCancelTimeout}, func(d *deployment) {
+					jobs := d.startEndlessJobs(machines, int(machineCPUs))
+					c.scenario(d, jobs)
+					d.sleep(hangCancelTimeout + 2*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// All machines hang. Only those that hold tasks of cancelled jobs are released.
+func TestHungMachinesWithoutCancelledTasksAreKept(t *testing.T) {
+	simulate(t, deploymentOptions{machines: 8, cancelTimeout: hangCancelTimeout}, func(d *deployment) {
+		jobs := d.startEndlessJobs(2, int(machineCPUs))
+		before, holders := d.allMachines(), d.busyMachines()
+		hangMachines(before)
+		d.cancelAll(jobs)
+		d.sleep(hangCancelTimeout + time.Second)
+		after := d.allMachines()
+		for _, m := range before {
+			released, holder := !slices.Contains(after, m), slices.Contains(holders, m)
+			if released != holder {
+				t.Errorf("%s: released %v, held cancelled tasks %v", m.ID, released, holder)
+			}
+		}
+		if len(holders) == len(before) {
+			t.Error("no machine is without cancelled tasks")
+		}
+	})
+}
+
+// The leader alone hears no machine when a job is cancelled. It does not release the machines, which
+// the next leader hears.
+func TestLeaderThatHearsNoMachineReleasesNone(t *testing.T) {
+	simulate(t, deploymentOptions{cancelTimeout: hangCancelTimeout}, func(d *deployment) {
+		jobs := d.startEndlessJobs(defaultMachines, int(machineCPUs))
+		before := d.allMachines()
+		d.partitionMachines(d.leader(), true, anyMachine)
+		d.cancelAll(jobs)
+		next := d.startEndlessJobs(defaultMachines, int(machineCPUs)) // for which the machines are needed
+		d.sleep(hangCancelTimeout + 2*time.Second)
+		for _, m := range before {
+			if !slices.Contains(d.allMachines(), m) {
+				t.Errorf("%s was released", m.ID)
+			}
+		}
+		d.cancelAll(next)
+	})
+}
