A release does not wait for other calls to a cloud that does not respond

Callers saw: with a cloud that carried out releases and answered nothing else, cancelled tasks on machines that hung went on for longer than cancel_s, though their release was due 10 s before.

Cause: releases shared a loop with the catalog, the machine list and the requests for machines. Each of these has a timeout of 4 s, and unanswered requests for machines are sent again in each round, three at a time: a round took longer than the time that the deadline leaves.

Releases now have a loop and a connection of their own (Autoscaler.RunScaleIn). All that the loops share was guarded by the lock of the state before.

Evidence: TestReleaseDoesNotWaitForUnansweredCloudCalls fails without the change (tasks on all six machines 30 s after the answer, cancel_s 30 s) and passes with it; the tests of hung machines pass under the race detector.

--- a/internal/autoscaler/scalein.go
+++ b/internal/autoscaler/scalein.go
@@ -6,6 +6,7 @@
 	"dunestand/internal/cluster"
 	"dunestand/internal/election"
 	"dunestand/internal/failuredetector"
+	"dunestand/internal/loop"
 	"dunestand/internal/protocol"
 	"dunestand/internal/sorted"
 	"dunestand/internal/units"
@@ -39,6 +40,17 @@
 	bootTimeoutAfterElection = 30 * units.Second
 )
 
+// RunScaleIn scales in at regular intervals while the leadership is valid. It returns when ctx is
+// cancelled. It does not share the loop of Run, where calls to a cloud that does not respond could
+// delay a release beyond its deadline.
+func (as *Autoscaler) RunScaleIn(ctx context.Context) {
+	for loop.Sleep(ctx, autoscaleInterval) {
+		if as.Leadership.Valid() {
+			as.scaleIn(ctx)
+		}
+	}
+}
+
 // scaleIn releases machines that are faulty, lost, did not finish booting, may hold cancelled tasks
 // for too long, or are idle and not needed for the demand or the reserve.
 func (as *Autoscaler) scaleIn(ctx context.Context) {
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -33,8 +33,9 @@
 const (
 	// callTimeout limits the time of one request.
 	callTimeout = 4 * units.Second
-	// maxConns limits the connections to the cloud.
-	maxConns = 3
+	// maxConns limits the connections to the cloud: one for a scale-in request while other requests
+	// get no response.
+	maxConns = 4
 	// maxResponseBytes limits the size of a response.
 	maxResponseBytes = 1 << 20
 	// requestShare is the part of the cloud's rate limit that a controller uses.
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -19,6 +19,7 @@
 	machines     map[string]protocol.ListedMachine
 	createdCount int
 	down         bool
+	releasesOnly bool
 
 	// OnProvision and OnRelease, if set, are called for each instance that is provisioned or
 	// released. They are called under the cloud's lock and must be set before the first request.
@@ -43,9 +44,27 @@
 	c.down = down
 }
 
+// SetReleasesOnly sets whether only releases of machines get a response.
+func (c *Cloud) SetReleasesOnly(releasesOnly bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releasesOnly = releasesOnly
+}
+
+// responds reports whether requests for a path get a response.
+func (c *Cloud) responds(path string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.releasesOnly || path == protocol.PathScaleIn
+}
+
 // ServeHTTP implements the cloud's HTTP API.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if !c.responds(r.URL.Path) {
+		<-r.Context().Done()
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
--- a/node/deployment_faults_test.go
+++ b/node/deployment_faults_test.go
@@ -13,8 +13,8 @@
 		}
 	})
 	d.cloud.SetDown(false)
+	d.cloud.SetReleasesOnly(false)
 	for i := range d.controllers {
-		d.network.Partition(d.controllers[i].name, cloudAddress, false)
 		d.partitionPeers(i, false)
 		d.partitionMachines(i, false, anyMachine)
 	}
--- a/node/hung_machine_test.go
+++ b/node/hung_machine_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -167,3 +168,23 @@
 		d.cancelAll(next)
 	})
 }
+
+// The cloud responds to releases only. A release once waited for calls for the catalog, the machine list
+// and new machines, each of which had a timeout of its own.
+func TestReleaseDoesNotWaitForUnansweredCloudCalls(t *testing.T) {
+	for delay := time.Duration(0); delay < 12*time.Second; delay += 2 * time.Second {
+		t.Run(fmt.Sprintf("cancelled after %v", delay), func(t *testing.T) {
+			options := deploymentOptions{cancelTimeout: hangCancelTimeout, quotaLimit: 2 * defaultMachines * machineCPUs}
+			simulate(t, options, func(d *deployment) {
+				jobs := d.startEndlessJobs(defaultMachines, int(machineCPUs))
+				waiting := d.newJob(defaultMachines, time.Second) // for which machines are requested
+				d.submit(waiting)
+				d.cloud.SetReleasesOnly(true)
+				d.sleep(10*time.Second + delay)
+				hangMachines(d.allMachines())
+				d.cancelAll(jobs)
+				d.sleep(hangCancelTimeout + time.Second)
+			})
+		})
+	}
+}
