Tests: late copies of commands start no task

A copy of a start that was carried out and answered can reach a machine once more and start the task again, if the machine has forgotten the attempt. This can't happen here: a start travels only in the response to a heartbeat, which a worker waits for once, for 4 s, and drops after a restart. What is pushed is harmless when copied: stops of attempts that are never to go on, the start of a task that the job does not have, which every worker refuses, and an empty list with the token.

TestOnlyStopsAndWakeCommands now reads what is pushed; before it only checked that something was.

--- a/internal/controller/model_test.go
+++ b/internal/controller/model_test.go
@@ -52,6 +52,8 @@
 	delayedHeartbeats  []*protocol.Heartbeat // delayed by the network until after the worker timed out
 	sentHeartbeats     []sentHeartbeat       // of the last minute; duplicates of them may be delivered
 	broadcastResponses []broadcastResponse
+	sentPushes         []sentPush          // of the last minute; copies of them may be delivered
+	startedAttempts    map[modelStart]bool // attempts that some worker has started
 
 	specs          []protocol.JobSpec // of each job submitted
 	jobs           map[string]int     // number of tasks of each job submitted
@@ -76,6 +78,8 @@
 		completed:      map[taskKey]bool{},
 		terminalStages: map[string]protocol.JobStage{},
 		cancelledAt:    map[string]units.Micros{},
+
+		startedAttempts: map[modelStart]bool{},
 	}
 	// Some runs begin with far more machines than the team can use.
 	for range rapid.SampledFrom([]int{2, 2, 2, 2, 16}).Draw(t, "machines") {
@@ -106,6 +110,7 @@
 		m.delayResponseUntilAfterFailover, m.delayResponseUntilAfterFailover, m.preempt, m.preempt,
 		m.failOverWithDuplicates, m.deliverDuplicate,
 		m.preemptThenFailOver, m.preemptThenFailOver, m.preemptThenFailOver,
+		m.pushCommands, m.pushCommands, m.pushCommands, m.deliverPushCopy, m.deliverPushCopy,
 	}
 }
 
--- a/internal/fake/invariantchecker.go
+++ b/internal/fake/invariantchecker.go
@@ -18,6 +18,7 @@
 	quotaLimit        float64       // CPUs of the only team
 	jobs              map[string]*checkedJob
 	placements        map[taskID]map[string]*MachineInfo // machines that run a task, by ID
+	attempts          map[attemptID]bool                 // attempts that a machine has been told to start
 	violations        []string
 	startsAfterCancel int
 	starts            int
@@ -28,6 +29,11 @@
 	index int
 }
 
+type attemptID struct {
+	task   taskID
+	number uint64
+}
+
 // JobInfo is the part of a job's submission that machines and checks need.
 type JobInfo struct {
 	ID           string
@@ -39,6 +45,7 @@
 	Zone         string        // the only zone allowed; "": any
 	Priority     protocol.Priority
 	ImageFetch   time.Duration // 0: the machine's default
+	Service      bool          // its tasks run until it is cancelled
 }
 
 // MachineInfo identifies a machine and its zone.
@@ -65,6 +72,7 @@
 		quotaLimit:    quotaLimit,
 		jobs:          map[string]*checkedJob{},
 		placements:    map[taskID]map[string]*MachineInfo{},
+		attempts:      map[attemptID]bool{},
 	}
 }
 
@@ -143,6 +151,18 @@
 	}
 }
 
+// AttemptStarted records and checks that a machine carries out the start of an attempt. Leaders give each
+// start a number of its own, so a second start of an attempt is a copy of a command.
+func (c *InvariantChecker) AttemptStarted(job string, index int, number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := attemptID{taskID{job, index}, number}
+	if c.attempts[id] {
+		c.recordViolationLocked("started_again: attempt %d of %s/%d is started a second time", number, job, index)
+	}
+	c.attempts[id] = true
+}
+
 // TaskStarted records and checks the start of a submitted job's task on a machine.
 func (c *InvariantChecker) TaskStarted(job string, index int, m *MachineInfo) {
 	c.mu.Lock()
--- a/internal/fake/invariantchecker_test.go
+++ b/internal/fake/invariantchecker_test.go
@@ -110,6 +110,15 @@
 			time.Sleep(testCancelTimeout)
 			checker.CheckCancellations()
 		}, ""},
+		"attempts of a task": {func(checker *InvariantChecker) {
+			checker.AttemptStarted(twoTasks, 0, 7)
+			checker.AttemptStarted(twoTasks, 1, 7)
+			checker.AttemptStarted(twoTasks, 0, 8)
+		}, ""},
+		"attempt started a second time": {func(checker *InvariantChecker) {
+			checker.AttemptStarted(twoTasks, 0, 7)
+			checker.AttemptStarted(twoTasks, 0, 7)
+		}, "started_again"},
 		"runs beyond the cancel timeout": {func(checker *InvariantChecker) {
 			checker.TaskStarted(twoTasks, 0, a)
 			confirmCancel(checker)
--- a/internal/fake/machine.go
+++ b/internal/fake/machine.go
@@ -62,6 +62,8 @@
 	tasks          map[string]*machineTask
 	fault          Fault
 	hungUntil      time.Time
+	restarts       int
+	receivedPushes []protocol.DirectCommands
 }
 
 type machineTask struct {
@@ -103,6 +105,18 @@
 	m.killed = true
 }
 
+// Restart ends the machine and starts it again after a downtime: in its first incarnation, without tasks
+// and without a fencing token. Commands that are pushed in the downtime arrive after it.
+func (m *Machine) Restart(downtime time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dropTasksLocked()
+	m.restarts++
+	m.incarnation, m.sequence, m.fencingToken = 1, 0, 0
+	m.hungUntil = time.Now().Add(downtime)
+	m.leaseStart, m.tokenChangedAt, m.changed = m.hungUntil, time.Time{}, true
+}
+
 // RunningTasks returns the number of running tasks.
 func (m *Machine) RunningTasks() int { return m.tasksInStage(protocol.TaskRunning) }
 
--- a/internal/fake/machineheartbeat.go
+++ b/internal/fake/machineheartbeat.go
@@ -16,6 +16,7 @@
 type sentHeartbeat struct {
 	body        []byte
 	incarnation uint64
+	restarts    int // of the machine
 	sentAt      time.Time
 	fault       Fault
 	delayed     bool
@@ -46,7 +47,7 @@
 		response := m.exchange(ctx, heartbeat, m.Controllers[controller])
 		switch response.status {
 		case http.StatusOK:
-			m.handleResponse(response.body, heartbeat.incarnation, heartbeat.sentAt)
+			m.handleResponse(response.body, heartbeat)
 			m.waitForNextHeartbeat(ctx, heartbeat.sentAt)
 		case http.StatusMisdirectedRequest:
 			var redirect protocol.LeaderRedirect
@@ -77,6 +78,7 @@
 	heartbeat := sentHeartbeat{
 		body:        m.encodeHeartbeatLocked(),
 		incarnation: m.incarnation,
+		restarts:    m.restarts,
 		sentAt:      time.Now(),
 		fault:       m.fault,
 	}
--- a/internal/push/pusher_test.go
+++ b/internal/push/pusher_test.go
@@ -63,6 +63,25 @@
 	}
 }
 
+// checkPushedCommands checks that pushed commands, if there are any, start no task that a job with the
+// given number of tasks has. A push can reach a machine once more after it was carried out, and would
+// start the task a second time if the machine has forgotten the attempt by then or was restarted.
+func checkPushedCommands(t *testing.T, body []byte, tasks int) {
+	t.Helper()
+	if body == nil {
+		return
+	}
+	var push protocol.DirectCommands
+	if err := protocol.Decode(body, &push); err != nil {
+		t.Fatal(err)
+	}
+	for _, command := range push.Commands {
+		if command.Verb == protocol.VerbStart && command.Task != protocol.TaskName("j-000001", tasks) {
+			t.Errorf("start of %s is pushed", command.Task)
+		}
+	}
+}
+
 // Stops are pushed for running tasks that are no longer wanted, and a wake command for a machine that
 // has a start waiting. Starts themselves are never pushed.
 func TestOnlyStopsAndWakeCommandsArePushed(t *testing.T) {
@@ -99,6 +118,7 @@
 			if c.want && endpoint != m.Endpoint {
 				t.Errorf("sent to %q", endpoint)
 			}
+			checkPushedCommands(t, body, attempt.Job.Spec.Tasks)
 		})
 	}
 }
--- a/node/deployment_users_test.go
+++ b/node/deployment_users_test.go
@@ -81,6 +81,9 @@
 	fields[protocol.FieldZoneSpread] = job.ZoneSpread
 	fields[protocol.FieldPriority] = job.Priority.String()
 	fields[protocol.FieldEstimate] = job.RunTime.Seconds()
+	if job.Service {
+		fields[protocol.FieldJobKind] = "service"
+	}
 	if job.Zone != "" {
 		fields[protocol.FieldZone] = job.Zone
 	}
