A copy of a heartbeat from before a machine's restart hides no task

Callers would see: a task runs on two machines. A machine comes back within a second, so does the leader, and a late copy of a heartbeat arrives that the machine sent before.

Cause: a heartbeat was newer than another one if its incarnation and sequence were. A machine that comes back begins with incarnation 1 and sequence 1. A copy from before has later numbers and does not show the tasks that were started since; the new leader took their starts for lost and started them elsewhere. The machine's own heartbeats then counted as old.

Now the fencing token that a heartbeat shows is compared first. In one start of a machine it never falls, and no start is sent to a machine that has not shown the leader's token, so a copy from before shows a lower one and has no effect. A higher token with a lower sequence shows a restart: what the machine had before is gone. A heartbeat with a lower token and no live task is answered with the token and no commands, so that a machine that came back and got no token gets work again; with a live task the answer would renew its lease without a stop.

--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -70,6 +70,10 @@
 // A response renews the worker's lease, which keeps the worker's tasks running. Heartbeat
 // therefore returns no response before the records are restored: they may contain a
 // cancellation that a former leader has already confirmed to a user.
+//
+// A heartbeat that shows a lower token than its machine has shown before has no effect, but it gets a
+// response without commands if it shows no live task: if the machine was restarted, its next heartbeat
+// shows the token. With a live task, the response would renew the lease and might lack a stop.
 func (l *Leader) Heartbeat(ctx context.Context, heartbeat *protocol.Heartbeat, slot *heartbeatSlot) (protocol.HeartbeatResponse, error) {
 	response := protocol.HeartbeatResponse{FencingToken: l.token, Commands: []protocol.Command{}}
 	if !l.awaitRestore(ctx, slot) {
@@ -86,6 +90,9 @@
 		return response, errNotLeader
 	}
 	machine := l.reconciler.Reconcile(heartbeat, now)
+	if machine == nil && l.reconciler.MissesToken(heartbeat) {
+		return response, nil
+	}
 	if machine == nil {
 		return response, errStaleHeartbeat
 	}
--- a/internal/controller/heartbeat_test.go
+++ b/internal/controller/heartbeat_test.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// A machine that was restarted shows no token and no tasks. It gets the leader's token and no commands
+// until it shows it, so that it gets work again after its next incarnation at the latest.
+func TestRestartedMachineGetsTokenWithoutCommands(t *testing.T) {
+	leader, _ := newLeaderWithJob(t, 2)
+	for sequence := uint64(1); sequence <= 3; sequence++ {
+		if _, err := leader.Heartbeat(t.Context(), testHeartbeat("i-1", 1, sequence, 7), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	response, err := leader.Heartbeat(t.Context(), testHeartbeat("i-1", 1, 1, 0), nil)
+	if err != nil || response.FencingToken != 7 || len(response.Commands) != 0 {
+		t.Errorf("first heartbeat after the restart: %+v, %v", response, err)
+	}
+	if _, err := leader.Heartbeat(t.Context(), testHeartbeat("i-1", 2, 2, 7), nil); err != nil {
+		t.Errorf("heartbeat of the next incarnation: %v", err)
+	}
+}
+
 // A task may run in two attempts, one of which was started by a former leader and is unknown to this
 // one. The first attempt to finish completes the job, which is then removed from the state. Heartbeats
 // that still show the other attempt must be handled without the job.
--- a/internal/controller/model_copies_test.go
+++ b/internal/controller/model_copies_test.go
@@ -10,6 +10,40 @@
 	"dunestand/internal/units"
 )
 
+// restartWorker has any worker end and come back within a second.
+func (m *model) restartWorker() {
+	m.restart(rapid.SampledFrom(m.workers).Draw(m.t, "restarted worker"))
+}
+
+// restart has a worker begin anew: in its first incarnation, without a fencing token and without tasks.
+// The response that it awaited is lost with its connection.
+func (m *model) restart(worker *modelWorker) {
+	if !worker.alive || m.isHanging(worker) {
+		return
+	}
+	worker.incarnation, worker.sequence, worker.token = 1, 0, 0
+	worker.leaseStart = m.clock.Now
+	worker.responseAwaited, worker.response = false, nil
+	clear(worker.tasks)
+}
+
+// restartWorkersAndFailOver has some workers and the leader come back within a second. The next leader
+// receives heartbeats of the workers, duplicates of heartbeats from before and after, and copies of
+// commands that were pushed before, in any order.
+func (m *model) restartWorkersAndFailOver() {
+	for _, worker := range m.workers {
+		if rapid.Bool().Draw(m.t, "restarted") {
+			m.restart(worker)
+		}
+	}
+	if rapid.Bool().Draw(m.t, "a new leader") {
+		m.failOver()
+	}
+	m.runAllExcept(nil, units.Micros(rapid.IntRange(0, 6).Draw(m.t, "seconds"))*units.Second)
+	m.deliverMixedMessages()
+	m.runAllExcept(nil, units.Micros(rapid.IntRange(0, 6).Draw(m.t, "seconds"))*units.Second)
+}
+
 // sentPush is a push of commands that a leader has sent to a worker, whether or not it was delivered.
 type sentPush struct {
 	machine string
--- a/internal/controller/model_test.go
+++ b/internal/controller/model_test.go
@@ -110,6 +110,7 @@
 		m.delayResponseUntilAfterFailover, m.delayResponseUntilAfterFailover, m.preempt, m.preempt,
 		m.failOverWithDuplicates, m.deliverDuplicate,
 		m.preemptThenFailOver, m.preemptThenFailOver, m.preemptThenFailOver,
+		m.restartWorker, m.restartWorkersAndFailOver, m.restartWorkersAndFailOver, m.restartWorkersAndFailOver,
 		m.pushCommands, m.pushCommands, m.pushCommands, m.deliverPushCopy, m.deliverPushCopy,
 	}
 }
--- a/internal/controller/model_worker_test.go
+++ b/internal/controller/model_worker_test.go
@@ -112,6 +112,9 @@
 func (m *model) handleHeartbeat(heartbeat *protocol.Heartbeat) *protocol.HeartbeatResponse {
 	leader, now := m.leader, m.clock.Now
 	machine := leader.reconciler.Reconcile(heartbeat, now)
+	if machine == nil && leader.reconciler.MissesToken(heartbeat) {
+		return &protocol.HeartbeatResponse{FencingToken: leader.token}
+	}
 	if machine == nil {
 		return nil
 	}
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -8,6 +8,7 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"dunestand/internal/cluster"
 	"dunestand/internal/failuredetector"
@@ -78,15 +79,47 @@
 	return m
 }
 
-// isNewer reports whether a heartbeat was sent after the last applied heartbeat of its machine.
+// isNewer reports whether a heartbeat was sent after the last applied heartbeat of its machine. A machine
+// that was restarted begins anew with its incarnation, its sequence and the fencing token that it shows.
+// The heartbeats of one start of a machine never show a lower token than earlier ones, so the token is
+// decisive: a heartbeat with a higher token comes from a later start or later in the same one, and one
+// with a lower token from an earlier start, or from a later one that has not shown a token yet.
 func isNewer(heartbeat *protocol.Heartbeat, m *cluster.Machine) bool {
+	if heartbeat.FencingToken != m.FencingToken {
+		return heartbeat.FencingToken > m.FencingToken
+	}
+	return hasLaterSequence(heartbeat, m)
+}
+
+// beganAnew reports whether a machine has dropped all tasks since its last applied heartbeat: it began a
+// new incarnation or was restarted. heartbeat must be newer than the last applied one.
+func beganAnew(heartbeat *protocol.Heartbeat, m *cluster.Machine) bool {
+	return heartbeat.Incarnation != m.Incarnation || heartbeat.Sequence < m.Sequence
+}
+
+// MissesToken reports whether a heartbeat shows a lower fencing token than its machine has shown before,
+// and no task that has not ended. It may be a late copy, or the machine was restarted and needs a
+// response in order to show the token.
+func (rc *Reconciler) MissesToken(heartbeat *protocol.Heartbeat) bool {
+	m := rc.State.Machines[heartbeat.Machine]
+	return m != nil && m.Registered && heartbeat.FencingToken < m.FencingToken && !showsLiveTask(heartbeat)
+}
+
+// showsLiveTask reports whether a heartbeat shows a task that has not ended.
+func showsLiveTask(heartbeat *protocol.Heartbeat) bool {
+	return slices.ContainsFunc(heartbeat.Tasks, func(task protocol.TaskStatus) bool { return task.Stage != protocol.TaskExited })
+}
+
+// hasLaterSequence reports whether a heartbeat has a later incarnation or sequence number than the last
+// applied heartbeat of its machine.
+func hasLaterSequence(heartbeat *protocol.Heartbeat, m *cluster.Machine) bool {
 	return heartbeat.Incarnation > m.Incarnation ||
 		heartbeat.Incarnation == m.Incarnation && heartbeat.Sequence > m.Sequence
 }
 
 // reconcileMachine applies the part of a heartbeat that is about the machine itself.
 func (rc *Reconciler) reconcileMachine(m *cluster.Machine, heartbeat *protocol.Heartbeat, now units.Micros) {
-	if m.Registered && heartbeat.Incarnation > m.Incarnation {
+	if m.Registered && beganAnew(heartbeat, m) {
 		rc.Log.Info("machine started a new agent incarnation", "machine", m.ID, "incarnation", heartbeat.Incarnation, "lost", len(m.Attempts))
 		rc.State.RemoveAttempts(m, now)
 	}
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -116,6 +116,53 @@
 	}
 }
 
+// A machine that was restarted begins anew with its incarnation, its sequence and its token. Copies of
+// heartbeats from before then have later numbers, but they show a lower token and no task that runs
+// since. They once made the leader start these tasks elsewhere as well.
+func TestHeartbeatFromBeforeRestartHidesNoTask(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		incarnation, sequence uint64
+	}{
+		{"later sequence", 1, 50},
+		{"later incarnation", 3, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rc, job := newTestReconciler(t)
+			m := rc.Reconcile(heartbeat(1, 2), testNow)
+			attempt := rc.State.Assign(job, m, rc.State.NextAttempt(testToken), testNow)
+			commit(rc.State)
+			rc.Commands(m, heartbeat(1, 2), testNow)
+			early := heartbeat(c.incarnation, c.sequence)
+			early.FencingToken = testToken - 1
+			if rc.Reconcile(early, testNow) != nil || len(m.Attempts) != 1 || attempt.Stage != cluster.Sent {
+				t.Error("the copy has an effect")
+			}
+			if !rc.MissesToken(early) || rc.MissesToken(heartbeat(1, 3)) {
+				t.Error("a heartbeat misses the token if and only if it shows a lower one than before")
+			}
+			early.Tasks = []protocol.TaskStatus{{Job: job.Spec.ID, Attempt: 1, Stage: protocol.TaskRunning}}
+			if rc.MissesToken(early) {
+				t.Error("the lease of a running task would be renewed")
+			}
+		})
+	}
+}
+
+// A heartbeat that shows a higher token than the last one comes from a machine that was restarted if its
+// sequence is lower. Its earlier tasks are gone.
+func TestHeartbeatWithHigherTokenAndLowerSequenceShowsRestart(t *testing.T) {
+	rc, job := newTestReconciler(t)
+	early := heartbeat(1, 50, protocol.TaskStatus{Job: job.Spec.ID, Attempt: 1, Stage: protocol.TaskRunning})
+	early.FencingToken = testToken - 1
+	if m := rc.Reconcile(early, testNow); len(m.Attempts) != 1 {
+		t.Fatal("the attempt is not adopted")
+	}
+	if m := rc.Reconcile(heartbeat(1, 2), testNow); m == nil || len(m.Attempts) != 0 {
+		t.Error("the attempt from before the restart still counts")
+	}
+}
+
 // A start is sent only after a record that names its machine is durable, and only once.
 func TestStartIsSentOnceItsMachineNameIsDurable(t *testing.T) {
 	rc, job := newTestReconciler(t)
--- a/node/late_copies_test.go
+++ b/node/late_copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,3 +137,29 @@
 		}
 	}
 }
+
+// Machines and controllers come back within a second, and then late copies of heartbeats arrive that the
+// machines sent before. They do not show the tasks that run since. A leader once took these tasks for
+// lost, as the copies have later sequence numbers, and started them on other machines as well.
+func TestLateCopiesOfHeartbeatsFromBeforeRestartHideNoTask(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			simulate(t, deploymentOptions{machines: 4, seed: seed}, func(d *deployment) {
+				copies := map[string]func(controller string){}
+				for _, m := range d.allMachines() {
+					deliver := m.CaptureHeartbeat()
+					copies[m.ID] = func(controller string) { deliver(d.ctx, controller) }
+				}
+				d.restartMachines()
+				d.restartAll(briefRestart)
+				jobs := d.startEndlessJobs(1, int(machineCPUs))
+				leader := d.controllers[d.leader()].name
+				for _, m := range slices.Clone(d.busyMachines()) {
+					copies[m.ID](leader)
+				}
+				d.sleep(workerLease)
+				d.cancelAll(jobs)
+			})
+		})
+	}
+}
--- a/node/soak_faults_test.go
+++ b/node/soak_faults_test.go
@@ -19,7 +19,7 @@
 		s.restartController, s.restartController, s.restartController, s.preemptAndRestartLeader, s.preemptAndRestartLeader,
 		s.freezeController, s.freezeController,
 		s.isolateController, s.rejectControllerKV, s.hangMachines, s.loseResponses, s.loseHeartbeats,
-		s.partitionSomeMachines, s.delayCommands,
+		s.partitionSomeMachines, s.delayCommands, s.restartSomeMachines, s.restartMachinesAndLeader, s.deliverPushCopies,
 	}
 	faults[s.random.IntN(len(faults))]()
 }
@@ -268,6 +268,36 @@
 	s.injectFaultIntoSomeMachines(fake.Fault{CommandDelay: 2 * time.Second, DelayedShare: 0.3})
 }
 
+// restartSomeMachines restarts some machines within a second.
+func (s *soakRun) restartSomeMachines() {
+	machines := s.someMachines()
+	s.logFault("%d machines restart", len(machines))
+	for _, m := range machines {
+		m.Restart(s.randomDuration(100*time.Millisecond, time.Second))
+	}
+}
+
+// restartMachinesAndLeader restarts some machines and the leader within a second. Duplicates of heartbeats
+// from before and copies of pushed commands arrive later.
+func (s *soakRun) restartMachinesAndLeader() {
+	s.restartSomeMachines()
+	downtime := s.randomDuration(100*time.Millisecond, time.Second)
+	if controller, ok := s.currentLeader(); ok && s.isHealthy(controller) {
+		s.excludeFromFaults(controller, downtime)
+		s.stopAndRestart(controller, downtime)
+	}
+	s.deliverPushCopies()
+}
+
+// deliverPushCopies delivers copies of the commands that were pushed to some machines.
+func (s *soakRun) deliverPushCopies() {
+	executed := 0
+	for _, m := range s.sampleMachines(0.5) {
+		executed += m.DeliverPushCopies()
+	}
+	s.logFault("copies of pushed commands: %d executed", executed)
+}
+
 // hangMachines hangs some machines, which all resume within their lease. A machine that hangs for
 // longer does not resume its tasks (docs/questions.md, 16), but the invariant checker counts them
 // until the machine resumes. TestCancelledTasksOnHungMachinesEndInTime covers such machines.
