Only releases with a deadline have a loop of their own, and they begin later

Now the time before the deadline allows for a request without an answer or a failover, whichever is longer, not for both (35 to 39 s after the answer with cancel_s of 47.5 s and lease_s of 17.5 s), and only machines that are due are released by the urgent loop; the others as before.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -50,7 +50,7 @@
 
 // Autoscaler scales the rented machines out and in according to the demand and the policy, and
 // refreshes the catalog of instance types. Callers must hold the lock of State when they call
-// its methods, except for Run and RunScaleIn, which take the lock themselves and do not hold it
+// its methods, except for Run and RunUrgentScaleIn, which take the lock themselves and do not hold it
 // during calls to the cloud. Create one with New.
 type Autoscaler struct {
 	Deps
@@ -94,8 +94,8 @@
 	catalogInterval   = 60 * units.Second
 )
 
-// Run refreshes the catalog and the machine list and scales out at regular intervals while the
-// leadership is valid. It returns when ctx is cancelled.
+// Run refreshes the catalog and the machine list, scales in and scales out at regular intervals
+// while the leadership is valid. It returns when ctx is cancelled.
 func (as *Autoscaler) Run(ctx context.Context) {
 	for wait := units.Micros(0); loop.Sleep(ctx, wait); wait = autoscaleInterval {
 		if !as.Leadership.Valid() {
@@ -108,6 +108,7 @@
 		if due(as.provisioning.listReadAt, listInterval(as.Settings.Fleet.Cloud, as.provisioning.listedMachines), now) {
 			as.refreshMachineList(ctx)
 		}
+		as.scaleIn(ctx)
 		as.scaleOut(ctx)
 	}
 }
--- a/internal/autoscaler/scalein.go
+++ b/internal/autoscaler/scalein.go
@@ -40,23 +40,32 @@
 	bootTimeoutAfterElection = 30 * units.Second
 )
 
-// RunScaleIn scales in at regular intervals while the leadership is valid. It returns when ctx is
-// cancelled. It does not share the loop of Run, where calls to a cloud that does not respond could
-// delay a release beyond its deadline.
-func (as *Autoscaler) RunScaleIn(ctx context.Context) {
+// RunUrgentScaleIn releases the machines for which there is a deadline, at regular intervals while the
+// leadership is valid. It returns when ctx is cancelled. It does not share the loop of Run, where calls to
+// a cloud that does not respond could delay a release beyond its deadline.
+func (as *Autoscaler) RunUrgentScaleIn(ctx context.Context) {
 	for loop.Sleep(ctx, autoscaleInterval) {
-		if as.Leadership.Valid() {
-			as.scaleIn(ctx)
+		if !as.Leadership.Valid() {
+			continue
 		}
+		as.State.Lock()
+		ids := as.UrgentMachinesToRelease(as.Clock.Steady())
+		as.State.Unlock()
+		as.releaseMachines(ctx, ids)
 	}
 }
 
-// scaleIn releases machines that are faulty, lost, did not finish booting, may hold cancelled tasks
-// for too long, or are idle and not needed for the demand or the reserve.
+// scaleIn releases machines that are faulty, lost, did not finish booting, or are idle and not
+// needed for the demand or the reserve.
 func (as *Autoscaler) scaleIn(ctx context.Context) {
 	as.State.Lock()
 	ids := as.MachinesToRelease(as.Clock.Steady())
 	as.State.Unlock()
+	as.releaseMachines(ctx, ids)
+}
+
+// releaseMachines releases machines in the given order. It returns early if a request fails.
+func (as *Autoscaler) releaseMachines(ctx context.Context, ids []string) {
 	for len(ids) > 0 {
 		n := min(len(ids), protocol.MaxScaleIn)
 		if err := as.Cloud.ScaleIn(ctx, ids[:n]); err != nil {
@@ -85,27 +94,22 @@
 	as.CycleSignal.Raise()
 }
 
-// MachinesToRelease returns the IDs of the machines to release: first those for which there is a
-// deadline, the most urgent first, then the others in ascending order. A machine that has been
-// chosen gets no more work and stays chosen, since the cloud may carry out a release request that got
-// no answer at any time.
-func (as *Autoscaler) MachinesToRelease(now units.Micros) []string {
+// UrgentMachinesToRelease returns the IDs of the machines to release by a deadline, the most urgent first:
+// those that may hold cancelled tasks.
+func (as *Autoscaler) UrgentMachinesToRelease(now units.Micros) []string {
 	due := as.Detector.DueCancellations(now)
 	for _, id := range due {
 		if m := as.State.Machines[id]; m != nil {
 			as.markReleasing(m, releaseCancelled)
 		}
 	}
-	others := as.machinesWithoutDeadline(now)
-	for _, id := range due {
-		delete(others, id)
-	}
-	return append(due, sorted.Keys(others)...)
+	return due
 }
 
-// machinesWithoutDeadline returns the IDs of the machines to release because they are faulty, lost, did
-// not finish booting or are idle, and of those that were chosen before.
-func (as *Autoscaler) machinesWithoutDeadline(now units.Micros) map[string]bool {
+// MachinesToRelease returns the IDs of the machines to release for which there is no deadline, in
+// ascending order. A machine that has been chosen gets no more work and stays chosen, since the cloud
+// may carry out a release request that got no answer at any time.
+func (as *Autoscaler) MachinesToRelease(now units.Micros) []string {
 	chosen := map[string]bool{}
 	lost := as.Detector.LostMachines(now)
 	for _, id := range sorted.Keys(as.State.Machines) {
@@ -126,7 +130,10 @@
 		as.markReleasing(m, releaseIdle)
 		chosen[m.ID] = true
 	}
-	return chosen
+	for _, id := range as.Detector.DueCancellations(now) {
+		delete(chosen, id) // see UrgentMachinesToRelease
+	}
+	return sorted.Keys(chosen)
 }
 
 // markReleasing marks a machine as being released and logs the reason the first time.
--- a/internal/autoscaler/scalein_test.go
+++ b/internal/autoscaler/scalein_test.go
@@ -38,3 +38,25 @@
 		})
 	}
 }
+
+// A machine that must be released by a deadline is requested by the urgent loop alone, gets no more work,
+// and is marked as being released.
+func TestMachineWithDeadlineIsReleasedByUrgentLoopOnly(t *testing.T) {
+	as, clock := newTestAutoscaler(1)
+	as.Settings.Fleet.Workers.CancelS = 40
+	m := as.State.EnsureMachine("i-000001", "m", "a", false, clock.Now)
+	m.Registered, m.LastHeartbeat = true, clock.Now
+	job := as.State.Jobs["j-000001"]
+	as.State.Assign(job, m, 1, clock.Now).Stage = cluster.Running
+	job.Cancel(clock.Now, clock.Now)
+	if ids := as.UrgentMachinesToRelease(clock.Now); len(ids) != 0 {
+		t.Errorf("released at once: %v", ids)
+	}
+	deadline := clock.Now + as.Settings.Fleet.Workers.CancelBound()
+	if ids := as.UrgentMachinesToRelease(deadline - units.Second); len(ids) != 1 || ids[0] != m.ID || !m.Releasing {
+		t.Errorf("released by the deadline: %v", ids)
+	}
+	if ids := as.MachinesToRelease(deadline - units.Second); len(ids) != 0 {
+		t.Errorf("requested by both loops: %v", ids)
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -123,7 +123,7 @@
 		l.persister.Run,
 		l.cycleLoop,
 		l.autoscaler.Run,
-		l.autoscaler.RunScaleIn,
+		l.autoscaler.RunUrgentScaleIn,
 		l.detector.MonitorDelay,
 		l.broadcaster.Run,
 		l.ingester.Run,
--- a/internal/failuredetector/cancellations.go
+++ b/internal/failuredetector/cancellations.go
@@ -11,7 +11,7 @@
 	"dunestand/internal/units"
 )
 
-// Times that a release which has to be complete by a deadline takes.
+// Times that the release of machines by a deadline can take.
 const (
 	// unansweredRelease is the time of a request to the cloud that gets no response.
 	unansweredRelease = 4 * units.Second
@@ -86,8 +86,9 @@
 	deadline := cancelledAt + workers.CancelBound()
 	// The deadline must hold even if this leader fails now. But before its lease has expired, the
 	// machine may run tasks that are not cancelled.
+	afterFailover := release - unansweredRelease + election.FailoverTime(workers) + restoreTime
 	afterLease := workers.CancelBound() - d.WorkerLease()
-	lead := max(release, min(release+election.FailoverTime(workers)+restoreTime, afterLease))
+	lead := max(release, min(afterFailover, afterLease))
 	return now >= max(deadline-lead, d.awaitSearch(deadline-release))
 }
 
