A release of many machines ends when the leadership does

Cause: the leadership was checked before machines to release were chosen, and not between the requests, of 100 machines each. A leader that stood still in one of them and was replaced went on with machines on which its successor's tasks may run. The urgent loop, which releases many machines at once, would have had the same fault.

The leadership is now checked before each release request.

Evidence: TestReleaseEndsWithLeadership sees three requests without the check and one with it.

--- a/internal/autoscaler/scalein.go
+++ b/internal/autoscaler/scalein.go
@@ -64,9 +64,10 @@
 	as.releaseMachines(ctx, ids)
 }
 
-// releaseMachines releases machines in the given order. It returns early if a request fails.
+// releaseMachines releases machines in the given order. It returns early if a request fails or the
+// leadership ends: the machines may have got tasks of the next leader since they were chosen.
 func (as *Autoscaler) releaseMachines(ctx context.Context, ids []string) {
-	for len(ids) > 0 {
+	for len(ids) > 0 && as.Leadership.Valid() {
 		n := min(len(ids), protocol.MaxScaleIn)
 		if err := as.Cloud.ScaleIn(ctx, ids[:n]); err != nil {
 			as.Log.Debug("scale-in request failed", "machines", ids[:n], "error", err)
--- a/internal/autoscaler/scalein_test.go
+++ b/internal/autoscaler/scalein_test.go
@@ -1,9 +1,17 @@
 package autoscaler
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"dunestand/internal/cloud"
 	"dunestand/internal/cluster"
+	"dunestand/internal/config"
+	"dunestand/internal/fake"
+	"dunestand/internal/loop"
 	"dunestand/internal/protocol"
 	"dunestand/internal/units"
 )
@@ -60,3 +68,25 @@
 		t.Errorf("requested by both loops: %v", ids)
 	}
 }
+
+// The leadership ends during the first of three release requests. The other two, for machines that may
+// have got tasks of the next leader, are not sent.
+func TestReleaseEndsWithLeadership(t *testing.T) {
+	as, _ := newTestAutoscaler(1)
+	requests := 0
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		requests++
+		as.Leadership.(*fake.Leadership).Lost = true
+	}))
+	defer server.Close()
+	as.Cloud = cloud.NewClient(nil, strings.TrimPrefix(server.URL, "http://"), config.CloudLimits{RPS: 100})
+	as.CycleSignal = loop.NewSignal()
+	ids := make([]string, 3*protocol.MaxScaleIn)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("i-%06d", i)
+	}
+	as.releaseMachines(t.Context(), ids)
+	if requests != 1 {
+		t.Errorf("%d requests, want 1", requests)
+	}
+}
