Tests: random hangs with cancelled tasks, leader changes and outages

Two to eight machines, of which random ones hang for good with cancelled tasks, while controllers are restarted and the cloud or the key-value store rejects all requests for seconds. All tasks of the cancelled jobs must be gone by cancel_s. The last fault leaves time for a failover and a release.

--- a/node/hung_machine_test.go
+++ b/node/hung_machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -188,3 +189,56 @@
 		})
 	}
 }
+
+// Random machines hang with cancelled tasks, in fleets of two to eight, while leaders change and cloud and
+// key-value store have short outages. All cancelled tasks are gone by cancel_s.
+func TestHungMachinesKeepNoCancelledTaskUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runRandomHangs(t, seed) })
+	}
+}
+
+// runRandomHangs performs one random run.
+func runRandomHangs(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	machines := 2 * (1 + random.IntN(4))
+	simulate(t, deploymentOptions{machines: machines, cancelTimeout: hangCancelTimeout, seed: seed}, func(d *deployment) {
+		jobs := d.startEndlessJobs(machines, int(machineCPUs))
+		for _, m := range d.allMachines() {
+			if random.IntN(3) > 0 {
+				m.Hang(longHang)
+			}
+		}
+		d.sleep(time.Duration(random.IntN(3)) * time.Second)
+		d.cancelAll(jobs)
+		told := time.Now()
+		// The last fault ends while there is time for a failover and a release.
+		for time.Since(told) < hangCancelTimeout-16*time.Second {
+			d.injectShortFault(random)
+			d.sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+		}
+		d.sleep(hangCancelTimeout - time.Since(told) + 2*time.Second)
+	})
+}
+
+// injectShortFault restarts controllers, or has the cloud or the key-value store reject all requests, for a
+// few seconds.
+func (d *deployment) injectShortFault(random *rand.Rand) {
+	length := time.Duration(100+random.IntN(4000)) * time.Millisecond
+	switch random.IntN(4) {
+	case 0:
+		if leader, ok := d.currentLeader(); ok {
+			d.restart(leader, length)
+		}
+	case 1:
+		d.restartAll(length)
+	case 2:
+		d.cloud.SetDown(true)
+		d.sleep(length)
+		d.cloud.SetDown(false)
+	case 3:
+		d.setKVOutage(true)
+		d.sleep(length)
+		d.setKVOutage(false)
+	}
+}
