Tests: ports of controllers are outside the range of outgoing connections

Cause: the harness asked the kernel for a free port, closed it and used it later. The kernel gave one of 32768 to 60999, from which it also takes the ports of outgoing connections, so the connections of controllers already started, or of other tests, can take it in between. Which connection took it here is not recorded.

Now both harnesses with controllers on real sockets ask fake.FreeAddress, which takes ports from 10000 to 31999, one after the other from a random start. No test or check changes; no product source does.

--- a/cmd/dunestand/processes_test.go
+++ b/cmd/dunestand/processes_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -115,12 +114,11 @@
 // freeAddress returns a loopback address whose port is unused.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fake.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // metricsContain reports whether a controller's metrics contain a text.
--- a/node/cluster_network_test.go
+++ b/node/cluster_network_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"dunestand/internal/fake"
 )
 
 // dialer opens the outgoing connections of one controller and can partition it from addresses.
@@ -52,18 +54,11 @@
 	}
 }
 
-func listenLoopback(t *testing.T) net.Listener {
+func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fake.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return l
-}
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l := listenLoopback(t)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
